--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/common/Closer.java
@@ -0,0 +1,40 @@
+package org.sequoiaspindle.core.common;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+
+/** Gathers resources and closes them in reverse order of registration. Thread-safe. */
+public final class Closer implements AutoCloseable {
+
+    private final Deque<AutoCloseable> resources = new ArrayDeque<>();
+
+    /** Registers a resource and returns it. */
+    public synchronized <T extends AutoCloseable> T register(T resource) {
+        resources.push(resource);
+        return resource;
+    }
+
+    /**
+     * Closes every resource, also when some fail.
+     *
+     * @throws IllegalStateException with the first failure as cause, the others suppressed
+     */
+    @Override
+    public synchronized void close() {
+        IllegalStateException failure = null;
+        while (!resources.isEmpty()) {
+            try {
+                resources.pop().close();
+            } catch (Exception e) {
+                if (failure == null) {
+                    failure = new IllegalStateException("a resource failed to close", e);
+                } else {
+                    failure.addSuppressed(e);
+                }
+            }
+        }
+        if (failure != null) {
+            throw failure;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/RequestHandler.java
@@ -0,0 +1,20 @@
+package org.sequoiaspindle.core.protocol.request;
+
+import java.util.concurrent.CompletionStage;
+import org.sequoiaspindle.core.protocol.endpoint.TokenSink;
+
+/**
+ * Serves callers. Front ends of any protocol hand their requests to it. Thread-safe; the stage
+ * never completes exceptionally.
+ */
+@FunctionalInterface
+public interface RequestHandler {
+
+    /**
+     * Runs a request to its end.
+     *
+     * @param sink receives the tokens of the last stage if it streams; a sink that returns false
+     *     cancels the request
+     */
+    CompletionStage<Answer> handle(CallerRequest request, TokenSink sink);
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/StageReport.java
@@ -0,0 +1,19 @@
+package org.sequoiaspindle.core.protocol.request;
+
+/**
+ * One attempt of a stage, as shown to the caller and in traces.
+ *
+ * @param stage name of the stage
+ * @param endpoint endpoint that ran it, empty if none was assigned
+ * @param attempt number of the attempt within the stage, from 1
+ * @param result class of the result, the simple name of the {@code CallResult}
+ * @param waitMillis time waited for an endpoint
+ * @param serviceMillis time from sending the call to its verdict
+ */
+public record StageReport(
+        String stage,
+        String endpoint,
+        int attempt,
+        String result,
+        long waitMillis,
+        long serviceMillis) {}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/state/SecretHash.java
@@ -0,0 +1,59 @@
+package org.sequoiaspindle.core.state;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.Locale;
+
+/** Salted SHA-256 hashes of secrets in the form {@code sha256:<salt hex>:<digest hex>}. */
+public final class SecretHash {
+
+    private static final String SCHEME = "sha256";
+    private static final int DIGEST_HEX_LENGTH = 64;
+
+    private SecretHash() {}
+
+    /** Hashes a secret with the given salt. */
+    public static String of(String secret, byte[] salt) {
+        String digest = HexFormat.of().formatHex(digest(secret, salt));
+        return SCHEME + ":" + HexFormat.of().formatHex(salt) + ":" + digest;
+    }
+
+    /** Whether the text has the form of a secret hash. */
+    public static boolean isWellFormed(String hash) {
+        String[] parts = hash.split(":", -1);
+        return parts.length == 3
+                && parts[0].equals(SCHEME)
+                && isHex(parts[1])
+                && !parts[1].isEmpty()
+                && parts[2].length() == DIGEST_HEX_LENGTH
+                && isHex(parts[2]);
+    }
+
+    /** Compares in time that does not depend on where the digests differ. */
+    public static boolean matches(String secret, String hash) {
+        if (!isWellFormed(hash)) {
+            return false;
+        }
+        String[] parts = hash.split(":", -1);
+        byte[] expected = HexFormat.of().parseHex(parts[2]);
+        return MessageDigest.isEqual(expected, digest(secret, HexFormat.of().parseHex(parts[1])));
+    }
+
+    private static boolean isHex(String text) {
+        return text.length() % 2 == 0
+                && text.equals(text.toLowerCase(Locale.ROOT))
+                && text.chars().allMatch(c -> Character.digit(c, 16) >= 0);
+    }
+
+    private static byte[] digest(String secret, byte[] salt) {
+        try {
+            MessageDigest sha = MessageDigest.getInstance("SHA-256");
+            sha.update(salt);
+            return sha.digest(secret.getBytes(StandardCharsets.UTF_8));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("every Java platform provides SHA-256", e);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/state/Snapshot.java
@@ -0,0 +1,107 @@
+package org.sequoiaspindle.core.state;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import io.vavr.collection.Seq;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+
+/**
+ * A checked object set of one generation with its lookup indexes. Immutable; a request uses one
+ * snapshot from start to end.
+ */
+public final class Snapshot {
+
+    /** Generation of the snapshot that an instance holds before it has read any. */
+    public static final long NO_GENERATION = 0;
+
+    private final long generation;
+    private final ObjectSet objects;
+    private final Map<String, Organisation> organisations;
+    private final Map<String, Operator> operators;
+    private final Map<String, EndpointGroup> endpointGroups;
+    private final Map<String, Vector<Endpoint>> endpointsByGroup;
+    private final Map<String, Stage> stages;
+    private final Map<String, Pipeline> pipelines;
+    private final Vector<RoutingRule> rulesInOrder;
+
+    private Snapshot(long generation, ObjectSet objects) {
+        this.generation = generation;
+        this.objects = objects;
+        this.organisations = index(objects.organisations());
+        this.operators = index(objects.operators());
+        this.endpointGroups = index(objects.endpointGroups());
+        this.endpointsByGroup = objects.endpoints().groupBy(Endpoint::group);
+        this.stages = index(objects.stages());
+        this.pipelines = index(objects.pipelines());
+        this.rulesInOrder = objects.routingRules().sortBy(RoutingRule::order);
+    }
+
+    /** Snapshot of a set that has been checked. */
+    public static Snapshot of(long generation, ObjectSet checked) {
+        return new Snapshot(generation, checked);
+    }
+
+    /** Snapshot that an instance holds before it has read any. */
+    public static Snapshot none() {
+        return new Snapshot(NO_GENERATION, ObjectSet.empty());
+    }
+
+    public long generation() {
+        return generation;
+    }
+
+    public ObjectSet objects() {
+        return objects;
+    }
+
+    /** Whether no configuration has been read yet. */
+    public boolean isNone() {
+        return generation == NO_GENERATION;
+    }
+
+    public Option<Organisation> organisation(String name) {
+        return organisations.get(name);
+    }
+
+    public Option<Operator> operator(String name) {
+        return operators.get(name);
+    }
+
+    public Option<EndpointGroup> endpointGroup(String name) {
+        return endpointGroups.get(name);
+    }
+
+    public Option<Stage> stage(String name) {
+        return stages.get(name);
+    }
+
+    public Option<Pipeline> pipeline(String name) {
+        return pipelines.get(name);
+    }
+
+    /** Endpoints of a group in the data centre, empty for an unknown group. */
+    public Vector<Endpoint> endpoints(String group, String dataCentre) {
+        return endpointsByGroup
+                .getOrElse(group, Vector.empty())
+                .filter(endpoint -> endpoint.dataCentre().equals(dataCentre));
+    }
+
+    /** Stages of a pipeline in order. */
+    public Vector<Stage> stagesOf(Pipeline pipeline) {
+        return pipeline.stages().flatMap(this::stage);
+    }
+
+    /** Group that runs a stage for an organisation: the first matching rule, else the stage's. */
+    public String groupFor(String organisation, String pipeline, Stage stage) {
+        return rulesInOrder
+                .find(rule -> rule.matches(organisation, pipeline, stage.name()))
+                .map(RoutingRule::endpointGroup)
+                .getOrElse(stage.endpointGroup());
+    }
+
+    private static <T extends NamedObject> Map<String, T> index(Seq<T> objects) {
+        return objects.foldLeft(
+                HashMap.<String, T>empty(), (map, object) -> map.put(object.name(), object));
+    }
+}
