--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
@@ -0,0 +1,67 @@
+package org.sequoiaspindle.core.common;
+
+/**
+ * Events that the system logs. Numbers are stable and stand in docs/events.md: 1xx lifecycle and
+ * settings, 2xx configuration, 3xx requests, 4xx peers, 5xx store and claims, 6xx routing.
+ */
+public enum LogEvent {
+    DAEMON_STARTED(101, Level.INFO, "daemon started"),
+    DAEMON_READY(102, Level.INFO, "instance became ready"),
+    DRAIN_STARTED(103, Level.INFO, "drain started"),
+    DRAIN_ENDED(104, Level.INFO, "drain ended"),
+    SETTINGS_INVALID(105, Level.ERROR, "settings are invalid"),
+    INVARIANT_BROKEN(106, Level.ERROR, "an invariant is broken; the process stops"),
+    NO_CONFIGURATION(107, Level.WARN, "no configuration from the store or any peer yet"),
+    CONFIGURATION_ADOPTED(201, Level.INFO, "configuration adopted"),
+    CONFIGURATION_OLDER_IGNORED(202, Level.WARN, "older configuration ignored"),
+    CONFIGURATION_UNREADABLE(203, Level.ERROR, "configuration could not be read"),
+    CONFIGURATION_PUBLISHED(204, Level.INFO, "configuration published"),
+    CONFIGURATION_REFUSED(205, Level.WARN, "publication refused"),
+    REQUEST_ENDED(301, Level.DEBUG, "request ended"),
+    LATE_ANSWER_DROPPED(302, Level.WARN, "late or foreign answer dropped"),
+    REQUEST_REJECTED(303, Level.INFO, "malformed or unauthorised request rejected"),
+    PEER_CONNECTED(401, Level.INFO, "peer connected"),
+    PEER_SILENT(402, Level.WARN, "peer link silent; closed"),
+    PEER_SUSPECTED(403, Level.WARN, "peer suspected"),
+    PEER_REJECTED(404, Level.WARN, "peer rejected"),
+    PEER_LIST_UNAVAILABLE(405, Level.WARN, "instance list unavailable"),
+    STORE_UNAVAILABLE(501, Level.WARN, "store unavailable"),
+    STORE_RECOVERED(502, Level.INFO, "store available again"),
+    WATCH_SILENT(503, Level.WARN, "watch silent; replaced"),
+    CLAIM_UNFINISHED(504, Level.WARN, "finished claim could not be recorded"),
+    ENDPOINT_EJECTED(601, Level.WARN, "endpoint ejected"),
+    ENDPOINT_RESTORED(602, Level.INFO, "endpoint restored"),
+    ENDPOINT_LEAVING(603, Level.INFO, "endpoint is leaving"),
+    SPILL_STARTED(604, Level.WARN, "spill to another data centre started"),
+    SPILL_ENDED(605, Level.INFO, "spill to another data centre ended");
+
+    /** How grave an event is. */
+    public enum Level {
+        DEBUG,
+        INFO,
+        WARN,
+        ERROR
+    }
+
+    private final int number;
+    private final Level level;
+    private final String message;
+
+    LogEvent(int number, Level level, String message) {
+        this.number = number;
+        this.level = level;
+        this.message = message;
+    }
+
+    public int number() {
+        return number;
+    }
+
+    public Level level() {
+        return level;
+    }
+
+    public String message() {
+        return message;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/HopTracer.java
@@ -0,0 +1,34 @@
+package org.sequoiaspindle.core.protocol.request;
+
+import io.vavr.collection.Map;
+import java.util.function.Consumer;
+
+/** Starts a trace span for each hop of a request. Thread-safe. */
+@FunctionalInterface
+public interface HopTracer {
+
+    /** Tracer that records nothing. */
+    HopTracer NONE = (name, parent, attributes) -> new Hop("", outcome -> {});
+
+    /**
+     * Starts a span.
+     *
+     * @param name name of the hop
+     * @param traceParent W3C trace context of the parent, empty to start a trace
+     * @param attributes attributes of the span
+     */
+    Hop start(String name, String traceParent, Map<String, Object> attributes);
+
+    /**
+     * A span in progress.
+     *
+     * @param traceParent W3C trace context of this span, empty if none is recorded
+     * @param finish ends the span with its outcome
+     */
+    record Hop(String traceParent, Consumer<String> finish) {
+
+        public void end(String outcome) {
+            finish.accept(outcome);
+        }
+    }
+}
