--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/publication/Publisher.java
@@ -0,0 +1,10 @@
+package org.sequoiaspindle.core.protocol.publication;
+
+import java.util.concurrent.CompletionStage;
+
+/** Publishes object sets. Thread-safe; the stage never completes exceptionally. */
+@FunctionalInterface
+public interface Publisher {
+
+    CompletionStage<PublishResult> publish(PublishRequest request);
+}
