Add routing, admission, retry and the request runner

Cause: requests need endpoints chosen under limits, deadlines and failures. Change: immutable group state with pure transitions behind a compare-and-set holder; baselines and the chosen policy as functional interfaces; stage runs with retries, hedges, ordered streams and resumption; outcome classes by what can be proved.

--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/routing/EndpointChooser.java
@@ -0,0 +1,13 @@
+package org.sequoiaspindle.core.coordination.routing;
+
+import io.vavr.control.Option;
+import java.util.random.RandomGenerator;
+
+/** Chooses an endpoint for a call. A pure function of its arguments. */
+@FunctionalInterface
+public interface EndpointChooser {
+
+    /** An endpoint that has room for the call now, or none. */
+    Option<EndpointState> choose(
+            GroupState group, CallProfile profile, long now, RandomGenerator random);
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/Profiles.java
@@ -0,0 +1,78 @@
+package org.sequoiaspindle.core.protocol.request;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.vavr.collection.HashSet;
+import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.coordination.admission.WaitPrediction;
+import org.sequoiaspindle.core.coordination.routing.CallProfile;
+import org.sequoiaspindle.core.coordination.routing.GroupState;
+import org.sequoiaspindle.core.coordination.routing.Groups;
+import org.sequoiaspindle.core.protocol.request.RequestPlan.PlannedStage;
+import org.sequoiaspindle.core.state.SizeClass;
+import org.sequoiaspindle.core.state.Stage;
+
+/** Describes the stages of a request to routing, with the time that the later ones need. */
+public final class Profiles {
+
+    private static final int PREFIX_CHARACTERS = 256;
+    private static final int CHARACTERS_PER_TOKEN = 4;
+
+    private final Groups groups;
+    private final MillisClock clock;
+
+    public Profiles(Groups groups, MillisClock clock) {
+        this.groups = groups;
+        this.clock = clock;
+    }
+
+    /** Profile of the stage at {@code index}, with the predicted time of those after it. */
+    public CallProfile profile(RequestPlan plan, int index) {
+        long laterMs = 0;
+        for (int later = plan.stages().size() - 1; later > index; later--) {
+            laterMs += waitAndServiceMs(plan, plan.stages().get(later));
+        }
+        return profile(plan, plan.stages().get(index).stage(), laterMs);
+    }
+
+    /** Predicted service time of the stage at {@code index}, in milliseconds. */
+    public long serviceMs(RequestPlan plan, int index) {
+        PlannedStage planned = plan.stages().get(index);
+        GroupState group = groups.group(planned.group()).state();
+        return group.model().expectedMs(profile(plan, planned.stage(), 0));
+    }
+
+    private long waitAndServiceMs(RequestPlan plan, PlannedStage planned) {
+        GroupState group = groups.group(planned.group()).state();
+        CallProfile profile = profile(plan, planned.stage(), 0);
+        return WaitPrediction.waitMs(group, profile, clock.now())
+                + group.model().expectedMs(profile);
+    }
+
+    private static CallProfile profile(RequestPlan plan, Stage stage, long laterMs) {
+        long size = size(plan, stage);
+        return new CallProfile(
+                plan.organisation().name(),
+                plan.organisation().weight(),
+                stage.name(),
+                stage.idempotent(),
+                size > stage.longOverTokens() ? SizeClass.LONG : SizeClass.SHORT,
+                size,
+                stage.expectedMs(),
+                laterMs,
+                plan.deadline(),
+                affinity(plan.input()),
+                HashSet.empty());
+    }
+
+    /** Tokens to generate for a streaming stage, tokens to read for another one. */
+    private static long size(RequestPlan plan, Stage stage) {
+        return stage.streams()
+                ? plan.maxTokens()
+                : Math.max(1, plan.input().length() / CHARACTERS_PER_TOKEN);
+    }
+
+    private static long affinity(String input) {
+        String prefix = input.substring(0, Math.min(PREFIX_CHARACTERS, input.length()));
+        return Hashing.komihash5_0().hashCharsToLong(prefix);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/RequestPlanner.java
@@ -0,0 +1,103 @@
+package org.sequoiaspindle.core.protocol.request;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.sequoiaspindle.core.coordination.access.Access;
+import org.sequoiaspindle.core.protocol.request.RequestPlan.PlannedStage;
+import org.sequoiaspindle.core.state.Deadline;
+import org.sequoiaspindle.core.state.Pipeline;
+import org.sequoiaspindle.core.state.RequestId;
+import org.sequoiaspindle.core.state.Snapshot;
+import org.sequoiaspindle.core.state.Stage;
+
+/** Checks a request against a snapshot and resolves its stages. Pure functions. */
+public final class RequestPlanner {
+
+    /** Largest number of tokens that a request may ask for. */
+    public static final int MAX_TOKENS = 1_000_000;
+
+    private static final int MAX_KEY_LENGTH = 200;
+
+    private RequestPlanner() {}
+
+    /**
+     * Why a request is rejected.
+     *
+     * @param reason class of the reason
+     * @param detail text for people
+     */
+    public record Rejection(Reason reason, String detail) {}
+
+    /** The plan of a request, or why it is rejected before anything is run. */
+    public static Either<Rejection, RequestPlan> plan(
+            Snapshot snapshot, CallerRequest request, RequestId id, long now) {
+        if (snapshot.isNone()) {
+            return reject(Reason.NOT_READY, "this instance has no configuration yet");
+        }
+        if (!Access.isOrganisation(snapshot, request.organisation(), request.secret())) {
+            return reject(Reason.UNAUTHENTICATED, "organisation or secret is wrong");
+        }
+        Option<Pipeline> pipeline = snapshot.pipeline(request.pipeline());
+        if (pipeline.isEmpty()) {
+            return reject(Reason.UNKNOWN_PIPELINE, "no pipeline named " + request.pipeline());
+        }
+        if (!pipeline.get().admits(request.organisation())) {
+            return reject(Reason.FORBIDDEN, "the organisation may not call this pipeline");
+        }
+        Option<String> malformed = malformed(request);
+        if (malformed.isDefined()) {
+            return reject(Reason.MALFORMED, malformed.get());
+        }
+        return Either.right(resolved(snapshot, request, pipeline.get(), id, now));
+    }
+
+    private static RequestPlan resolved(
+            Snapshot snapshot, CallerRequest request, Pipeline pipeline, RequestId id, long now) {
+        long millis =
+                Math.min(
+                        request.deadlineMillis().getOrElse((long) pipeline.deadlineMs()),
+                        pipeline.deadlineMs());
+        Vector<PlannedStage> stages =
+                snapshot.stagesOf(pipeline)
+                        .map(stage -> planned(snapshot, request, pipeline, stage));
+        return new RequestPlan(
+                id,
+                snapshot.generation(),
+                snapshot.organisation(request.organisation()).get(),
+                pipeline,
+                stages,
+                request.input(),
+                request.maxTokens(),
+                Deadline.after(now, millis),
+                request.idempotencyKey(),
+                request.traceParent());
+    }
+
+    private static PlannedStage planned(
+            Snapshot snapshot, CallerRequest request, Pipeline pipeline, Stage stage) {
+        String group = snapshot.groupFor(request.organisation(), pipeline.name(), stage);
+        return new PlannedStage(stage, group);
+    }
+
+    private static Option<String> malformed(CallerRequest request) {
+        if (request.maxTokens() < 1 || request.maxTokens() > MAX_TOKENS) {
+            return Option.some("maxTokens must be 1 to " + MAX_TOKENS);
+        }
+        if (request.deadlineMillis().exists(millis -> millis < 1)) {
+            return Option.some("the deadline must be at least 1 ms away");
+        }
+        if (request.idempotencyKey().exists(key -> key.isEmpty() || tooLong(key))) {
+            return Option.some("the idempotency key must have 1 to 200 characters");
+        }
+        return Option.none();
+    }
+
+    private static boolean tooLong(String key) {
+        return key.length() > MAX_KEY_LENGTH;
+    }
+
+    private static Either<Rejection, RequestPlan> reject(Reason reason, String detail) {
+        return Either.left(new Rejection(reason, detail));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/RequestRunner.java
@@ -0,0 +1,105 @@
+package org.sequoiaspindle.core.protocol.request;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.DoubleSupplier;
+import org.sequoiaspindle.core.coordination.admission.OrganisationLimits;
+import org.sequoiaspindle.core.protocol.endpoint.TokenSink;
+import org.sequoiaspindle.core.protocol.request.RequestPlanner.Rejection;
+import org.sequoiaspindle.core.state.Outcome;
+import org.sequoiaspindle.core.state.RequestId;
+import org.sequoiaspindle.core.state.Snapshot;
+import org.sequoiaspindle.core.state.SnapshotHolder;
+
+/** Runs requests through the stages of their pipelines. Thread-safe. */
+public final class RequestRunner implements RequestHandler {
+
+    private final SnapshotHolder snapshots;
+    private final RequestServices services;
+    private final ClaimGate claims;
+    private final DoubleSupplier organisationShare;
+    private final OrganisationLimits limits = new OrganisationLimits();
+
+    /**
+     * A runner.
+     *
+     * @param organisationShare share of each organisation's limit that this instance has, above 0
+     *     to 1
+     */
+    public RequestRunner(
+            SnapshotHolder snapshots,
+            RequestServices services,
+            ClaimGate claims,
+            DoubleSupplier organisationShare) {
+        this.snapshots = snapshots;
+        this.services = services;
+        this.claims = claims;
+        this.organisationShare = organisationShare;
+    }
+
+    @Override
+    public CompletionStage<Answer> handle(CallerRequest request, TokenSink sink) {
+        long arrivedAt = services.clock().now();
+        RequestId id = services.ids().get();
+        Snapshot snapshot = snapshots.current();
+        Either<Rejection, RequestPlan> planned =
+                RequestPlanner.plan(snapshot, request, id, arrivedAt);
+        if (planned.isLeft()) {
+            Answer rejected = rejected(id, snapshot.generation(), planned.getLeft());
+            record("", "", rejected, arrivedAt);
+            return CompletableFuture.completedFuture(rejected);
+        }
+        RequestPlan plan = planned.get();
+        return admitted(plan, sink)
+                .thenApply(
+                        answer -> {
+                            record(request.organisation(), request.pipeline(), answer, arrivedAt);
+                            return answer;
+                        });
+    }
+
+    private CompletionStage<Answer> admitted(RequestPlan plan, TokenSink sink) {
+        if (!limits.tryAcquire(plan.organisation(), organisationShare.getAsDouble())) {
+            Rejection over =
+                    new Rejection(
+                            Reason.OVER_LIMIT, "the organisation has too many requests running");
+            return CompletableFuture.completedFuture(rejected(plan.id(), plan.generation(), over));
+        }
+        HopTracer.Hop hop =
+                services.tracer()
+                        .start(
+                                "request " + plan.pipeline().name(),
+                                plan.traceParent(),
+                                HashMap.of("organisation", plan.organisation().name()));
+        return claims.guard(plan, () -> run(plan, sink, hop.traceParent()))
+                .whenComplete(
+                        (answer, failure) -> {
+                            limits.release(plan.organisation());
+                            hop.end(failure == null ? answer.outcome().name() : "BROKEN");
+                        });
+    }
+
+    private CompletionStage<Answer> run(RequestPlan plan, TokenSink sink, String traceParent) {
+        PipelineRun run = new PipelineRun(services, plan, sink, traceParent);
+        return run.start();
+    }
+
+    private void record(String organisation, String pipeline, Answer answer, long arrivedAt) {
+        long millis = services.clock().now() - arrivedAt;
+        services.records().accept(new RequestRecord(organisation, pipeline, answer, millis));
+    }
+
+    private static Answer rejected(RequestId id, long generation, Rejection rejection) {
+        return new Answer(
+                id,
+                Outcome.NOT_RUN,
+                rejection.reason(),
+                rejection.detail(),
+                "",
+                generation,
+                Vector.empty());
+    }
+}
