Test the request runner against faulty endpoints

Cause: answers must not be mixed, repeated or truncated, 'not run' must be true, and a call that must not be repeated must run at most once. Change: property tests on simulated time with endpoints that delay, reorder, repeat, cut, answer for other calls, refuse and lose answers.

--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/request/RequestRunnerTest.java
@@ -0,0 +1,174 @@
+package org.sequoiaspindle.core.protocol.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.collection.HashSet;
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.sequoiaspindle.core.common.EventLog;
+import org.sequoiaspindle.core.coordination.policy.Policies;
+import org.sequoiaspindle.core.coordination.retry.RetryBudget;
+import org.sequoiaspindle.core.coordination.retry.RetryRule;
+import org.sequoiaspindle.core.coordination.routing.Groups;
+import org.sequoiaspindle.core.fake.FaultyEndpoints;
+import org.sequoiaspindle.core.fake.SampleSet;
+import org.sequoiaspindle.core.fake.SimulatedTime;
+import org.sequoiaspindle.core.state.Outcome;
+import org.sequoiaspindle.core.state.RequestId;
+import org.sequoiaspindle.core.state.Snapshot;
+import org.sequoiaspindle.core.state.SnapshotHolder;
+
+/** Guards callers against mixed, repeated and truncated answers, and the truth of "not run". */
+final class RequestRunnerTest {
+
+    private static final String SEED = "20261204";
+    private static final List<String> ORGANISATIONS = List.of("county", "drillers", "farms");
+
+    /** One request with what its caller saw. */
+    private record Sent(
+            CallerRequest request, StringBuilder streamed, CompletableFuture<Answer> answer) {}
+
+    @Property(seed = SEED, tries = 200)
+    void callerNeverReceivesAnotherRequestsAnswer(
+            @ForAll long seed, @ForAll @IntRange(min = 0, max = 60) int faultPercent) {
+        Simulation simulation = new Simulation(seed, faultPercent);
+        for (Sent sent : simulation.run("chat", 40)) {
+            Answer answer = sent.answer().getNow(null);
+            assertTrue(answer != null, "every request ends by its deadline");
+            if (answer.outcome() == Outcome.ANSWERED) {
+                assertEquals(chatAnswer(sent.request().input()), answer.output());
+                assertEquals(answer.output(), sent.streamed().toString());
+            } else {
+                assertTrue(
+                        chatAnswer(sent.request().input()).startsWith(sent.streamed().toString()),
+                        "what was streamed before a failure is a prefix of the own answer");
+            }
+        }
+    }
+
+    @Property(seed = SEED, tries = 200)
+    void requestAnsweredAsNotRunWasNeverExecuted(
+            @ForAll long seed, @ForAll @IntRange(min = 0, max = 100) int faultPercent) {
+        Simulation simulation = new Simulation(seed, faultPercent);
+        for (String pipeline : List.of("payment", "chat")) {
+            for (Sent sent : simulation.run(pipeline, 40)) {
+                Answer answer = sent.answer().getNow(null);
+                if (answer.outcome() == Outcome.NOT_RUN) {
+                    assertEquals(0, simulation.endpoints.executions(answer.requestId()));
+                }
+            }
+        }
+    }
+
+    @Property(seed = SEED, tries = 200)
+    void callThatMustNotBeRepeatedIsExecutedAtMostOnce(
+            @ForAll long seed, @ForAll @IntRange(min = 0, max = 100) int faultPercent) {
+        Simulation simulation = new Simulation(seed, faultPercent);
+        for (Sent sent : simulation.run("payment", 40)) {
+            RequestId id = sent.answer().getNow(null).requestId();
+            assertTrue(simulation.endpoints.executions(id) <= 1);
+        }
+    }
+
+    @Property(seed = SEED, tries = 50)
+    void extraAttemptsStayWithinTheBudget(@ForAll long seed) {
+        Simulation simulation = new Simulation(seed, 100);
+        int requests = simulation.run("chat", 200).size();
+        long first = simulation.firstAttempts();
+        long notSent = simulation.notSentReports();
+        long extra = simulation.endpoints.calls().size() - first - notSent;
+        assertTrue(requests > 0 && extra <= first / 10 + RetryBudget.INITIAL_EXTRA);
+    }
+
+    private static String chatAnswer(String input) {
+        return FaultyEndpoints.answerTo("generate", FaultyEndpoints.answerTo("retrieve", input));
+    }
+
+    /** A runner on simulated time before endpoints with faults. */
+    private static final class Simulation {
+
+        private final SimulatedTime time = new SimulatedTime();
+        private final FaultyEndpoints endpoints;
+        private final RequestRunner runner;
+        private final List<Answer> answers = new ArrayList<>();
+
+        Simulation(long seed, int faultPercent) {
+            endpoints = new FaultyEndpoints(time, seed, faultPercent);
+            Snapshot snapshot = Snapshot.of(1, SampleSet.withEndpoints(4, 8));
+            SnapshotHolder snapshots = new SnapshotHolder();
+            snapshots.adopt(snapshot);
+            Groups groups = new Groups(SampleSet.DATA_CENTRE, Policies.chosen(), time, time);
+            groups.reconfigure(snapshot, HashSet.empty(), 1);
+            AtomicLong ids = new AtomicLong();
+            RequestServices services =
+                    new RequestServices(
+                            groups,
+                            endpoints,
+                            RetryRule.SAFE,
+                            HedgeRule.beyondExpectation(1, 20),
+                            new RetryBudget(0.1),
+                            time,
+                            time,
+                            HopTracer.NONE,
+                            EventLog.NONE,
+                            () -> new RequestId("r" + ids.incrementAndGet()),
+                            record -> answers.add(record.answer()));
+            runner = new RequestRunner(snapshots, services, ClaimGate.OPEN, () -> 1.0);
+        }
+
+        List<Sent> run(String pipeline, int count) {
+            List<Sent> all = new ArrayList<>();
+            for (int index = 0; index < count; index++) {
+                String organisation = ORGANISATIONS.get(index % ORGANISATIONS.size());
+                all.add(send(organisation, pipeline, organisation + " asks " + index));
+                time.advance(3);
+            }
+            time.advance(10_000);
+            return all;
+        }
+
+        private Sent send(String organisation, String pipeline, String input) {
+            CallerRequest request =
+                    new CallerRequest(
+                            organisation,
+                            SampleSet.secret(organisation),
+                            pipeline,
+                            input,
+                            FaultyEndpoints.TOKENS,
+                            Option.none(),
+                            Option.none(),
+                            "");
+            StringBuilder streamed = new StringBuilder();
+            CompletableFuture<Answer> answer =
+                    runner.handle(
+                                    request,
+                                    token -> {
+                                        streamed.append(token.text());
+                                        return true;
+                                    })
+                            .toCompletableFuture();
+            return new Sent(request, streamed, answer);
+        }
+
+        long firstAttempts() {
+            return endpoints.calls().stream()
+                    .map(call -> call.requestId() + "/" + call.stage())
+                    .distinct()
+                    .count();
+        }
+
+        long notSentReports() {
+            return answers.stream()
+                    .flatMap(answer -> answer.stages().toJavaStream())
+                    .filter(report -> report.result().equals("NotSent"))
+                    .count();
+        }
+    }
+}
