--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/publication/HeadReader.java
@@ -0,0 +1,87 @@
+package org.sequoiaspindle.core.protocol.publication;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.function.Function;
+import org.sequoiaspindle.core.protocol.publication.Head.PartReference;
+
+/** Reads heads from JSON. Every input gives a head or a reason; unknown fields are ignored. */
+public final class HeadReader {
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
+
+    private HeadReader() {}
+
+    /** Head of the text, or the reason why the text is not one. */
+    public static Either<String, Head> read(String text) {
+        try {
+            return head(MAPPER.readTree(text))
+                    .toEither("head has a missing field or a field of the wrong type");
+        } catch (JsonProcessingException e) {
+            return Either.left("head is not JSON: " + e.getOriginalMessage());
+        }
+    }
+
+    private static Option<Head> head(JsonNode node) {
+        return whole(node.get("generation"))
+                .filter(generation -> generation > 0)
+                .flatMap(generation -> head(node, generation));
+    }
+
+    private static Option<Head> head(JsonNode node, long generation) {
+        Option<String> submission = text(node.get("submissionId"));
+        Option<String> operator = text(node.get("operator"));
+        Option<Long> publishedAt = whole(node.get("publishedAtMs"));
+        Option<Vector<String>> recent = all(node.get("recentSubmissions"), HeadReader::text);
+        Option<Vector<PartReference>> parts = all(node.get("parts"), HeadReader::part);
+        if (submission.isEmpty()
+                || operator.isEmpty()
+                || publishedAt.isEmpty()
+                || recent.isEmpty()
+                || parts.isEmpty()) {
+            return Option.none();
+        }
+        return Option.some(
+                new Head(
+                        generation,
+                        submission.get(),
+                        operator.get(),
+                        publishedAt.get(),
+                        recent.get(),
+                        parts.get()));
+    }
+
+    private static Option<PartReference> part(JsonNode node) {
+        Option<String> kind = text(node.get("kind"));
+        Option<Long> bucket =
+                whole(node.get("bucket"))
+                        .filter(number -> number >= 0 && number <= Integer.MAX_VALUE);
+        Option<String> digest = text(node.get("digest")).filter(Sha256::isWellFormed);
+        if (kind.isEmpty() || bucket.isEmpty() || digest.isEmpty()) {
+            return Option.none();
+        }
+        return Option.some(new PartReference(kind.get(), bucket.get().intValue(), digest.get()));
+    }
+
+    private static Option<String> text(JsonNode node) {
+        return Option.of(node).filter(JsonNode::isTextual).map(JsonNode::textValue);
+    }
+
+    private static Option<Long> whole(JsonNode node) {
+        return Option.of(node)
+                .filter(value -> value.isIntegralNumber() && value.canConvertToLong())
+                .map(JsonNode::longValue);
+    }
+
+    private static <T> Option<Vector<T>> all(JsonNode node, Function<JsonNode, Option<T>> element) {
+        if (node == null || !node.isArray()) {
+            return Option.none();
+        }
+        return Option.sequence(Vector.ofAll(node).map(element)).map(Vector::ofAll);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/publication/Sets.java
@@ -0,0 +1,71 @@
+package org.sequoiaspindle.core.protocol.publication;
+
+import io.vavr.collection.Vector;
+import org.sequoiaspindle.core.state.Endpoint;
+import org.sequoiaspindle.core.state.EndpointGroup;
+import org.sequoiaspindle.core.state.ObjectSet;
+import org.sequoiaspindle.core.state.Operator;
+import org.sequoiaspindle.core.state.Organisation;
+import org.sequoiaspindle.core.state.Pipeline;
+import org.sequoiaspindle.core.state.RoutingRule;
+import org.sequoiaspindle.core.state.Stage;
+
+/** Copies of object sets with the objects of one kind added, and unions of sets. */
+final class Sets {
+    private Sets() {}
+
+    static ObjectSet organisations(ObjectSet set, Vector<Organisation> added) {
+        return union(set, of(added, none(), none(), none(), none(), none(), none()));
+    }
+
+    static ObjectSet operators(ObjectSet set, Vector<Operator> added) {
+        return union(set, of(none(), added, none(), none(), none(), none(), none()));
+    }
+
+    static ObjectSet groups(ObjectSet set, Vector<EndpointGroup> added) {
+        return union(set, of(none(), none(), added, none(), none(), none(), none()));
+    }
+
+    static ObjectSet endpoints(ObjectSet set, Vector<Endpoint> added) {
+        return union(set, of(none(), none(), none(), added, none(), none(), none()));
+    }
+
+    static ObjectSet stages(ObjectSet set, Vector<Stage> added) {
+        return union(set, of(none(), none(), none(), none(), added, none(), none()));
+    }
+
+    static ObjectSet pipelines(ObjectSet set, Vector<Pipeline> added) {
+        return union(set, of(none(), none(), none(), none(), none(), added, none()));
+    }
+
+    static ObjectSet routingRules(ObjectSet set, Vector<RoutingRule> added) {
+        return union(set, of(none(), none(), none(), none(), none(), none(), added));
+    }
+
+    static ObjectSet union(ObjectSet left, ObjectSet right) {
+        return of(
+                left.organisations().appendAll(right.organisations()),
+                left.operators().appendAll(right.operators()),
+                left.endpointGroups().appendAll(right.endpointGroups()),
+                left.endpoints().appendAll(right.endpoints()),
+                left.stages().appendAll(right.stages()),
+                left.pipelines().appendAll(right.pipelines()),
+                left.routingRules().appendAll(right.routingRules()));
+    }
+
+    private static ObjectSet of(
+            Vector<Organisation> organisations,
+            Vector<Operator> operators,
+            Vector<EndpointGroup> groups,
+            Vector<Endpoint> endpoints,
+            Vector<Stage> stages,
+            Vector<Pipeline> pipelines,
+            Vector<RoutingRule> routingRules) {
+        return new ObjectSet(
+                organisations, operators, groups, endpoints, stages, pipelines, routingRules);
+    }
+
+    private static <T> Vector<T> none() {
+        return Vector.empty();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/publication/StorePartSource.java
@@ -0,0 +1,49 @@
+package org.sequoiaspindle.core.protocol.publication;
+
+import io.vavr.Tuple;
+import io.vavr.Tuple2;
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.sequoiaspindle.core.protocol.store.Scheduler;
+import org.sequoiaspindle.core.protocol.store.Store;
+import org.sequoiaspindle.core.protocol.store.StoreReader;
+import org.sequoiaspindle.core.protocol.store.StoreResult;
+
+/** Fetches parts from the platform's store, one read for each part. */
+public final class StorePartSource implements PartSource {
+    private final StoreReader reader;
+
+    public StorePartSource(Store store, Scheduler scheduler) {
+        this.reader = new StoreReader(store, scheduler);
+    }
+
+    @Override
+    public CompletionStage<Either<String, Map<String, String>>> fetch(Vector<String> digests) {
+        CompletionStage<Map<String, String>> found =
+                CompletableFuture.completedStage(HashMap.empty());
+        for (String digest : digests) {
+            found =
+                    found.thenCombine(
+                            read(digest), (texts, text) -> text.map(texts::put).getOrElse(texts));
+        }
+        return found.thenApply(
+                texts ->
+                        texts.isEmpty() && !digests.isEmpty()
+                                ? Either.left("the store gave none of the parts")
+                                : Either.right(texts));
+    }
+
+    private CompletionStage<Option<Tuple2<String, String>>> read(String digest) {
+        return reader.read(ConfigurationKeys.part(digest))
+                .thenApply(
+                        result ->
+                                result instanceof StoreResult.Found found
+                                        ? Option.some(Tuple.of(digest, found.value().text()))
+                                        : Option.none());
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/publication/StorePublisher.java
@@ -0,0 +1,119 @@
+package org.sequoiaspindle.core.protocol.publication;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Vector;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.LongSupplier;
+import org.sequoiaspindle.core.common.EventLog;
+import org.sequoiaspindle.core.common.LogEvent;
+import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.coordination.configuration.Problem;
+import org.sequoiaspindle.core.protocol.store.Scheduler;
+import org.sequoiaspindle.core.protocol.store.Store;
+import org.sequoiaspindle.core.protocol.store.StoreValue;
+
+/**
+ * Publishes object sets in the platform's store. A result speaks for its own attempt: {@link
+ * PublishResult.NotRun} says that this attempt published nothing, while an earlier attempt of the
+ * same submission that ended {@link PublishResult.Unknown} may still take effect. A submission id
+ * stands for one set; the store keeps the ids of the last {@value HeadHistory#LENGTH} submissions.
+ */
+public final class StorePublisher implements Publisher {
+    private final Store store;
+    private final Scheduler scheduler;
+    private final MillisClock wallClock;
+    private final ObjectSetFunctions functions;
+    private final LongSupplier generationInForce;
+    private final EventLog events;
+
+    /**
+     * @param wallClock dates the heads
+     * @param generationInForce generation on this instance, reported by a dry run, which makes no
+     *     store call
+     */
+    public StorePublisher(
+            Store store,
+            Scheduler scheduler,
+            MillisClock wallClock,
+            ObjectSetFunctions functions,
+            LongSupplier generationInForce,
+            EventLog events) {
+        this.store = store;
+        this.scheduler = scheduler;
+        this.wallClock = wallClock;
+        this.functions = functions;
+        this.generationInForce = generationInForce;
+        this.events = events;
+    }
+
+    @Override
+    public CompletionStage<PublishResult> publish(PublishRequest request) {
+        return run(request)
+                .thenApply(
+                        result -> {
+                            record(request, result);
+                            return result;
+                        });
+    }
+
+    private CompletionStage<PublishResult> run(PublishRequest request) {
+        Vector<Problem> problems = functions.checker().apply(request.objects());
+        if (!problems.isEmpty()) {
+            return CompletableFuture.completedStage(new PublishResult.Invalid(problems));
+        }
+        ConfigurationParts parts = ConfigurationParts.split(request.objects(), functions.writer());
+        Vector<Problem> oversized = oversized(parts);
+        if (!oversized.isEmpty()) {
+            return CompletableFuture.completedStage(new PublishResult.Invalid(oversized));
+        }
+        if (request.dryRun()) {
+            return CompletableFuture.completedStage(
+                    new PublishResult.Checked(generationInForce.getAsLong()));
+        }
+        return new Submission(store, scheduler, request, parts, wallClock.now()).run();
+    }
+
+    private static Vector<Problem> oversized(ConfigurationParts parts) {
+        return parts.parts()
+                .filter(part -> part.length() > StoreValue.MAX_BYTES)
+                .map(
+                        part ->
+                                new Problem(
+                                        "part-too-large",
+                                        part.reference().kind(),
+                                        "",
+                                        "",
+                                        "the objects of this kind take "
+                                                + part.length()
+                                                + " bytes in one part; reduce them to "
+                                                + StoreValue.MAX_BYTES));
+    }
+
+    private void record(PublishRequest request, PublishResult result) {
+        if (result instanceof PublishResult.Checked) {
+            return;
+        }
+        LogEvent event =
+                result instanceof PublishResult.Published
+                        ? LogEvent.CONFIGURATION_PUBLISHED
+                        : LogEvent.CONFIGURATION_REFUSED;
+        events.record(
+                event,
+                HashMap.of(
+                        "operator",
+                        request.operator(),
+                        "submission",
+                        request.submissionId(),
+                        "baseGeneration",
+                        request.baseGeneration(),
+                        "result",
+                        describe(result)));
+    }
+
+    private static String describe(PublishResult result) {
+        return result instanceof PublishResult.Invalid invalid
+                ? "Invalid, " + invalid.problems().size() + " problems"
+                : result.toString();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/store/StoreReader.java
@@ -0,0 +1,36 @@
+package org.sequoiaspindle.core.protocol.store;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+/** Reads keys and repeats a read that got no answer, up to a number of attempts. */
+public final class StoreReader {
+    /** Attempts of one read. Four attempts span a brief loss of connection. */
+    public static final int ATTEMPTS = 4;
+
+    /** Pause between two attempts, in milliseconds. */
+    public static final long RETRY_DELAY_MS = 200;
+
+    private final Store store;
+    private final Scheduler scheduler;
+
+    public StoreReader(Store store, Scheduler scheduler) {
+        this.store = store;
+        this.scheduler = scheduler;
+    }
+
+    /** Result of the read; {@link StoreResult.Unavailable} only after the last attempt. */
+    public CompletionStage<StoreResult> read(String key) {
+        return attempt(new StoreCommand.Read(key), ATTEMPTS);
+    }
+
+    private CompletionStage<StoreResult> attempt(StoreCommand.Read command, int left) {
+        return store.execute(command)
+                .thenCompose(
+                        result ->
+                                result instanceof StoreResult.Unavailable && left > 1
+                                        ? scheduler.later(
+                                                RETRY_DELAY_MS, () -> attempt(command, left - 1))
+                                        : CompletableFuture.completedStage(result));
+    }
+}
