--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/fake/StoreFaults.java
@@ -0,0 +1,16 @@
+package org.sequoiaspindle.core.fake;
+
+/**
+ * How often the fake store misbehaves, each as a probability for one call.
+ *
+ * @param drop the call is lost before it takes effect
+ * @param loseAnswer the call takes effect and its answer is lost
+ * @param duplicate the call is delivered twice
+ * @param slow the call is delivered only after its caller has given up
+ * @param stale a read or watch answers an older state of the key
+ */
+public record StoreFaults(
+        double drop, double loseAnswer, double duplicate, double slow, double stale) {
+    public static final StoreFaults NONE = new StoreFaults(0, 0, 0, 0, 0);
+    public static final StoreFaults MANY = new StoreFaults(0.1, 0.15, 0.1, 0.1, 0.2);
+}
--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/publication/ConfigurationPartsTest.java
@@ -0,0 +1,111 @@
+package org.sequoiaspindle.core.protocol.publication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.sequoiaspindle.core.fake.FakeSets;
+import org.sequoiaspindle.core.state.Endpoint;
+import org.sequoiaspindle.core.state.EndpointGroup;
+import org.sequoiaspindle.core.state.NamedObject;
+import org.sequoiaspindle.core.state.ObjectSet;
+import org.sequoiaspindle.core.state.Operator;
+import org.sequoiaspindle.core.state.Organisation;
+import org.sequoiaspindle.core.state.Pipeline;
+import org.sequoiaspindle.core.state.RoutingRule;
+import org.sequoiaspindle.core.state.Stage;
+
+/** Guards against objects lost in the split and against changes that rewrite unrelated parts. */
+final class ConfigurationPartsTest {
+    private final ObjectSetFunctions functions = new FakeSets().functions();
+
+    @Property(tries = 300, seed = "1")
+    void joinedPartsHoldTheSameObjects(@ForAll("sets") ObjectSet set) {
+        ConfigurationParts parts = split(set);
+        Vector<ObjectSet> read =
+                parts.parts().map(part -> functions.reader().apply(part.text()).get());
+        assertEquals(ordered(set), ordered(ConfigurationParts.join(read)));
+        assertTrue(parts.references().size() <= ConfigurationParts.ENDPOINT_BUCKETS + 6);
+    }
+
+    @Property(tries = 300, seed = "2")
+    void changeOfOneEndpointChangesOnePart(
+            @ForAll("sets") ObjectSet set, @ForAll("places") int place) {
+        if (set.endpoints().isEmpty()) {
+            return;
+        }
+        int chosen = place % set.endpoints().size();
+        Endpoint changed = FakeSets.endpoint(set.endpoints().get(chosen).name(), 4096);
+        ObjectSet next = withEndpoints(set, set.endpoints().update(chosen, changed));
+        assertEquals(1, split(next).references().removeAll(split(set).references()).size());
+    }
+
+    @Property(tries = 100, seed = "3")
+    void orderOfWritingDoesNotChangeDigests(@ForAll("sets") ObjectSet set) {
+        ObjectSet reversed = withEndpoints(set, set.endpoints().reverse());
+        assertEquals(split(set).references(), split(reversed).references());
+    }
+
+    @Provide
+    Arbitrary<Integer> places() {
+        return Arbitraries.integers().between(0, 1000);
+    }
+
+    @Provide
+    Arbitrary<ObjectSet> sets() {
+        Arbitrary<Vector<String>> names =
+                Arbitraries.strings()
+                        .alpha()
+                        .ofMinLength(1)
+                        .ofMaxLength(8)
+                        .list()
+                        .uniqueElements()
+                        .ofMaxSize(40)
+                        .map(Vector::ofAll);
+        return names.tuple2().map(pair -> set(pair.get1(), pair.get2()));
+    }
+
+    private static ObjectSet set(Vector<String> some, Vector<String> others) {
+        Option<String> none = Option.none();
+        return new ObjectSet(
+                others.map(name -> new Organisation(name, "hash", 1, 1)),
+                some.take(3).map(name -> new Operator(name, "hash")),
+                others.take(5).map(name -> new EndpointGroup(name, EndpointGroup.Kind.POOL, none)),
+                some.map(name -> FakeSets.endpoint(name, 1)),
+                others.map(name -> new Stage(name, "group", true, false, 1, 1)),
+                some.map(name -> new Pipeline(name, others.take(2), 1, Vector.empty())),
+                others.map(name -> new RoutingRule(name, 1, none, none, none, "group")));
+    }
+
+    private ConfigurationParts split(ObjectSet set) {
+        return ConfigurationParts.split(set, functions.writer());
+    }
+
+    private static ObjectSet withEndpoints(ObjectSet set, Vector<Endpoint> endpoints) {
+        return new ObjectSet(
+                set.organisations(),
+                set.operators(),
+                set.endpointGroups(),
+                endpoints,
+                set.stages(),
+                set.pipelines(),
+                set.routingRules());
+    }
+
+    private static ObjectSet ordered(ObjectSet set) {
+        return new ObjectSet(
+                set.organisations().sortBy(NamedObject::name),
+                set.operators().sortBy(NamedObject::name),
+                set.endpointGroups().sortBy(NamedObject::name),
+                set.endpoints().sortBy(NamedObject::name),
+                set.stages().sortBy(NamedObject::name),
+                set.pipelines().sortBy(NamedObject::name),
+                set.routingRules().sortBy(NamedObject::name));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/publication/HeadCodecTest.java
@@ -0,0 +1,67 @@
+package org.sequoiaspindle.core.protocol.publication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a head that changes on its way through the store, and against throwing. */
+final class HeadCodecTest {
+    private static final Head HEAD =
+            new Head(
+                    7,
+                    "submission",
+                    "operator",
+                    1,
+                    Vector.of("submission@7", "earlier@6"),
+                    Vector.of(new Head.PartReference("endpoints", 3, Sha256.of("part"))));
+
+    @Property(tries = 300, seed = "1")
+    void writtenHeadIsReadBackUnchanged(
+            @ForAll @LongRange(min = 1) long generation,
+            @ForAll String submission,
+            @ForAll String operator,
+            @ForAll @IntRange(min = 0) int bucket) {
+        Head head =
+                new Head(
+                        generation,
+                        submission,
+                        operator,
+                        generation,
+                        Vector.of(submission, operator),
+                        Vector.of(new Head.PartReference(operator, bucket, Sha256.of(submission))));
+        assertEquals(Either.right(head), HeadReader.read(HeadWriter.write(head)));
+    }
+
+    @Property(tries = 500, seed = "2")
+    void arbitraryTextNeverThrows(@ForAll String text) {
+        assertTrue(HeadReader.read(text).isLeft());
+    }
+
+    @Property(tries = 500, seed = "3")
+    void damagedHeadNeverThrows(
+            @ForAll @IntRange(min = 0, max = 400) int place, @ForAll char replacement) {
+        String text = HeadWriter.write(HEAD);
+        int at = place % text.length();
+        HeadReader.read(text.substring(0, at));
+        HeadReader.read(text.substring(0, at) + replacement + text.substring(at + 1));
+    }
+
+    @Test
+    void wrongFieldsAreRefused() {
+        String text = HeadWriter.write(HEAD);
+        assertTrue(HeadReader.read(text).isRight());
+        assertTrue(HeadReader.read(text.replace(":7,", ":0,")).isLeft());
+        assertTrue(HeadReader.read(text.replace(":7,", ":7.5,")).isLeft());
+        assertTrue(HeadReader.read(text.replace("\"bucket\":3", "\"bucket\":-1")).isLeft());
+        assertTrue(HeadReader.read(text.replace(Sha256.of("part"), "../head")).isLeft());
+        assertTrue(HeadReader.read(text + text).isLeft());
+        assertTrue(HeadReader.read("[".repeat(100_000)).isLeft());
+    }
+}
