Test racing publications under faults

Change: a seeded race of four operators with lost, doubled, late and stale answers, outages, freezes and pauses; single results of StorePublisher; a naive publisher that trusts the first answer.

--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/publication/NaivePublisher.java
@@ -0,0 +1,69 @@
+package org.sequoiaspindle.core.protocol.publication;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.sequoiaspindle.core.protocol.store.Store;
+import org.sequoiaspindle.core.protocol.store.StoreCommand;
+import org.sequoiaspindle.core.protocol.store.StoreReader;
+import org.sequoiaspindle.core.protocol.store.StoreResult;
+import org.sequoiaspindle.core.protocol.store.StoreValue;
+
+/** Takes the answer of the head write at its word: no answer or a conflict means not published. */
+final class NaivePublisher implements Publisher {
+    private final Store store;
+    private final StoreReader reader;
+    private final ObjectSetFunctions functions;
+
+    NaivePublisher(Store store, StoreReader reader, ObjectSetFunctions functions) {
+        this.store = store;
+        this.reader = reader;
+        this.functions = functions;
+    }
+
+    @Override
+    public CompletionStage<PublishResult> publish(PublishRequest request) {
+        ConfigurationParts parts = ConfigurationParts.split(request.objects(), functions.writer());
+        parts.parts()
+                .forEach(
+                        part ->
+                                store.execute(
+                                        new StoreCommand.CompareAndSwap(
+                                                ConfigurationKeys.part(part.reference().digest()),
+                                                StoreCommand.ABSENT,
+                                                StoreValue.ofText(part.text()))));
+        return StoredHead.read(reader)
+                .thenCompose(
+                        read -> {
+                            if (!read.exists(
+                                    stored -> stored.generation() == request.baseGeneration())) {
+                                return CompletableFuture.completedStage(
+                                        new PublishResult.NotRun("base differs or is unknown"));
+                            }
+                            StoredHead base = read.get();
+                            long generation = request.baseGeneration() + 1;
+                            Head head =
+                                    new Head(
+                                            generation,
+                                            request.submissionId(),
+                                            request.operator(),
+                                            0,
+                                            HeadHistory.extend(
+                                                    base.head(),
+                                                    request.submissionId(),
+                                                    generation),
+                                            parts.references());
+                            return store.execute(
+                                            new StoreCommand.CompareAndSwap(
+                                                    ConfigurationKeys.HEAD,
+                                                    base.version(),
+                                                    StoreValue.ofText(HeadWriter.write(head))))
+                                    .thenApply(result -> verdict(result, generation));
+                        });
+    }
+
+    private static PublishResult verdict(StoreResult result, long generation) {
+        return result instanceof StoreResult.Swapped
+                ? new PublishResult.Published(generation)
+                : new PublishResult.NotRun(result.toString());
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/publication/PublicationRace.java
@@ -0,0 +1,164 @@
+package org.sequoiaspindle.core.protocol.publication;
+
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Set;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.sequoiaspindle.core.fake.FakeProcess;
+import org.sequoiaspindle.core.fake.FakeSets;
+import org.sequoiaspindle.core.fake.FakeStore;
+import org.sequoiaspindle.core.fake.StoreFaults;
+import org.sequoiaspindle.core.fake.VirtualTime;
+import org.sequoiaspindle.core.protocol.store.Scheduler;
+import org.sequoiaspindle.core.protocol.store.Store;
+
+/**
+ * Several operators publish through an instance each while the store misbehaves. The run is a
+ * function of its seed.
+ */
+final class PublicationRace {
+    private static final int OPERATORS = 4;
+    private static final int SUBMISSIONS = 8;
+    private static final long FAULTY_MS = 300_000;
+    private static final long QUIET_MS = 120_000;
+
+    private final Random random;
+    private final VirtualTime time;
+    private final FakeStore store;
+    private final FakeSets sets = new FakeSets();
+    private final List<Verdict> verdicts = new ArrayList<>();
+
+    PublicationRace(long seed) {
+        random = new Random(seed);
+        time = new VirtualTime(0, random);
+        store = new FakeStore(time, random);
+    }
+
+    /** Makes the publisher under test. */
+    interface PublisherMaker {
+        Publisher make(Store store, Scheduler scheduler, ObjectSetFunctions functions);
+    }
+
+    private record Verdict(String submission, PublishResult result) {}
+
+    /** Runs the race; gives the first guarantee that was broken. */
+    Option<String> violation(PublisherMaker maker) {
+        store.faults(StoreFaults.MANY);
+        for (int operator = 0; operator < OPERATORS; operator++) {
+            FakeProcess process = new FakeProcess(time);
+            Publisher publisher =
+                    maker.make(process.store(store), process.scheduler(), sets.functions());
+            submit(publisher, operator, 0, 0);
+            scheduleTrouble(process);
+        }
+        time.advance(FAULTY_MS);
+        store.faults(StoreFaults.NONE);
+        time.advance(QUIET_MS);
+        return judge(history());
+    }
+
+    private void scheduleTrouble(FakeProcess process) {
+        time.schedule(random.nextInt(20_000), () -> process.pause(random.nextInt(10_000)));
+        long outage = random.nextInt(20_000);
+        time.schedule(outage, () -> store.outage(true));
+        time.schedule(outage + random.nextInt(5_000), () -> store.outage(false));
+        long freeze = random.nextInt(20_000);
+        time.schedule(freeze, () -> store.freeze(true));
+        time.schedule(freeze + random.nextInt(40_000), () -> store.freeze(false));
+    }
+
+    private void submit(Publisher publisher, int operator, int number, long base) {
+        if (number == SUBMISSIONS) {
+            return;
+        }
+        String id = "submission-" + operator + "-" + number;
+        PublishRequest request =
+                new PublishRequest(
+                        "operator-" + operator,
+                        id,
+                        base,
+                        FakeSets.withSlots(operator * SUBMISSIONS + number + 1),
+                        false);
+        send(publisher, request, operator, number, 3);
+    }
+
+    private void send(
+            Publisher publisher, PublishRequest request, int operator, int number, int repeats) {
+        publisher
+                .publish(request)
+                .thenAccept(
+                        result -> {
+                            verdicts.add(new Verdict(request.submissionId(), result));
+                            if (result instanceof PublishResult.Unknown && repeats > 0) {
+                                send(publisher, request, operator, number, repeats - 1);
+                                return;
+                            }
+                            long base = nextBase(result, request.baseGeneration());
+                            time.schedule(
+                                    random.nextInt(5_000),
+                                    () -> submit(publisher, operator, number + 1, base));
+                        });
+    }
+
+    private static long nextBase(PublishResult result, long base) {
+        if (result instanceof PublishResult.Published published) {
+            return published.generation();
+        }
+        return result instanceof PublishResult.Conflict conflict
+                ? conflict.currentGeneration()
+                : base;
+    }
+
+    private Vector<Head> history() {
+        return Vector.ofAll(store.values(ConfigurationKeys.HEAD))
+                .map(text -> HeadReader.read(text).get());
+    }
+
+    private Option<String> judge(Vector<Head> history) {
+        Vector<Long> generations = history.map(Head::generation);
+        if (!generations.equals(Vector.rangeClosed(1L, (long) history.size()))) {
+            return Option.some("generations are not consecutive: " + generations);
+        }
+        Set<String> unknown =
+                Vector.ofAll(verdicts)
+                        .filter(v -> v.result() instanceof PublishResult.Unknown)
+                        .map(Verdict::submission)
+                        .toSet();
+        Option<Verdict> untrue =
+                Vector.ofAll(verdicts).find(verdict -> !holds(verdict, history, unknown));
+        return untrue.map(verdict -> verdict + " but the history is " + ids(history))
+                .orElse(() -> history.find(head -> !hasParts(head)).map(h -> "no part: " + h));
+    }
+
+    private boolean hasParts(Head head) {
+        return head.parts()
+                .forAll(
+                        part ->
+                                HashSet.ofAll(store.values(ConfigurationKeys.part(part.digest())))
+                                        .exists(text -> Sha256.of(text).equals(part.digest())));
+    }
+
+    /** A verdict after an unknown one of the same submission speaks for its own attempt only. */
+    private static boolean holds(Verdict verdict, Vector<Head> history, Set<String> unknown) {
+        Option<Head> visible =
+                history.find(head -> head.submissionId().equals(verdict.submission()));
+        if (verdict.result() instanceof PublishResult.Published published) {
+            return visible.exists(head -> head.generation() == published.generation());
+        }
+        return verdict.result() instanceof PublishResult.Unknown
+                || visible.isEmpty()
+                || unknown.contains(verdict.submission());
+    }
+
+    private static Vector<String> ids(Vector<Head> history) {
+        return history.map(head -> head.submissionId() + "@" + head.generation());
+    }
+
+    /** Number of results of the kind, to show that a run was not empty. */
+    int count(Class<? extends PublishResult> kind) {
+        return Vector.ofAll(verdicts).count(verdict -> kind.isInstance(verdict.result()));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/publication/StorePublisherTest.java
@@ -0,0 +1,165 @@
+package org.sequoiaspindle.core.protocol.publication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.collection.Vector;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.common.EventLog;
+import org.sequoiaspindle.core.coordination.configuration.Problem;
+import org.sequoiaspindle.core.fake.FakeSets;
+import org.sequoiaspindle.core.fake.FakeStore;
+import org.sequoiaspindle.core.fake.StoreFaults;
+import org.sequoiaspindle.core.fake.VirtualTime;
+import org.sequoiaspindle.core.protocol.store.Store;
+import org.sequoiaspindle.core.protocol.store.StoreCommand;
+import org.sequoiaspindle.core.state.Endpoint;
+import org.sequoiaspindle.core.state.ObjectSet;
+
+/** Guards the single results of a publication. */
+final class StorePublisherTest {
+    private static final StoreFaults LOST_ANSWERS = new StoreFaults(0, 1, 0, 0, 0);
+
+    private final Random random = new Random(1);
+    private final VirtualTime time = new VirtualTime(0, random);
+    private final FakeStore store = new FakeStore(time, random);
+    private final FakeSets sets = new FakeSets();
+
+    @Test
+    void repeatedSubmissionIsToldTheGenerationThatItGot() {
+        assertEquals(new PublishResult.Published(1), publish("a", 0));
+        for (int i = 1; i < HeadHistory.LENGTH; i++) {
+            assertEquals(new PublishResult.Published(i + 1), publish("b" + i, i));
+        }
+        assertEquals(new PublishResult.Published(1), publish("a", 0));
+        assertEquals(new PublishResult.Published(6), publish("b5", 5));
+    }
+
+    @Test
+    void loserIsToldTheWinningGenerationAndOperator() {
+        publish("a", 0);
+        assertEquals(new PublishResult.Conflict(1, "operator", "a"), publish("b", 0));
+    }
+
+    @Test
+    void changeOfOneEndpointWritesOnePartAndTheHead() {
+        publish("a", 0);
+        long before = store.calls();
+        publish("b", 1);
+        assertEquals(3, store.calls() - before, "read of the head, one part, the head");
+    }
+
+    @Test
+    void inconsistentSetMakesNoStoreCall() {
+        Problem problem = new Problem("code", "stages", "s", "field", "message");
+        ObjectSetFunctions checking =
+                new ObjectSetFunctions(
+                        sets.functions().writer(),
+                        sets.functions().reader(),
+                        set -> Vector.of(problem));
+        PublishResult result = publish(publisher(store, checking), request("a", 0, false));
+        assertEquals(new PublishResult.Invalid(Vector.of(problem)), result);
+        assertEquals(0, store.calls());
+    }
+
+    @Test
+    void oversizedPartIsRefusedWithTheNameOfItsKind() {
+        Vector<Endpoint> endpoints =
+                Vector.range(0, 20_000).map(i -> FakeSets.endpoint("x".repeat(900) + i, 1));
+        ObjectSet empty = ObjectSet.empty();
+        ObjectSet large =
+                new ObjectSet(
+                        empty.organisations(),
+                        empty.operators(),
+                        empty.endpointGroups(),
+                        endpoints,
+                        empty.stages(),
+                        empty.pipelines(),
+                        empty.routingRules());
+        PublishResult result =
+                publish(
+                        publisher(store, sets.functions()),
+                        new PublishRequest("operator", "a", 0, large, false));
+        PublishResult.Invalid invalid = assertInstanceOf(PublishResult.Invalid.class, result);
+        assertTrue(invalid.problems().forAll(problem -> problem.kind().equals("endpoints")));
+        assertEquals(0, store.calls());
+    }
+
+    @Test
+    void dryRunMakesNoStoreCall() {
+        PublishResult result = publish(publisher(store, sets.functions()), request("a", 0, true));
+        assertEquals(new PublishResult.Checked(41), result);
+        assertEquals(0, store.calls());
+    }
+
+    @Test
+    void publicationDuringAnOutageIsNotRunAndNeverBecomesVisible() {
+        store.outage(true);
+        assertInstanceOf(PublishResult.NotRun.class, publish("a", 0));
+        store.outage(false);
+        time.advance(60_000);
+        assertTrue(store.values(ConfigurationKeys.HEAD).isEmpty());
+    }
+
+    @Test
+    void lostAnswerFollowedByAnOutageIsUnknownAndTheRepeatIsPublishedOnce() {
+        Store failing =
+                command -> {
+                    if (isHeadWrite(command)) {
+                        store.faults(LOST_ANSWERS);
+                        time.schedule(1_000, () -> store.outage(true));
+                    }
+                    return store.execute(command);
+                };
+        PublishResult first = publish(publisher(failing, sets.functions()), request("a", 0, false));
+        assertInstanceOf(PublishResult.Unknown.class, first);
+        store.faults(StoreFaults.NONE);
+        store.outage(false);
+        assertEquals(new PublishResult.Published(1), publish("a", 0));
+        assertEquals(1, store.values(ConfigurationKeys.HEAD).size());
+    }
+
+    @Test
+    void lostAnswerUnderStaleReadsIsSettledByALaterRead() {
+        publish("a", 0);
+        Store failing =
+                command -> {
+                    if (isHeadWrite(command)) {
+                        store.faults(new StoreFaults(0, 1, 0, 0, 1));
+                        time.schedule(6_000, () -> store.faults(StoreFaults.NONE));
+                    }
+                    return store.execute(command);
+                };
+        assertEquals(
+                new PublishResult.Published(2),
+                publish(publisher(failing, sets.functions()), request("b", 1, false)));
+        assertEquals(2, store.values(ConfigurationKeys.HEAD).size());
+    }
+
+    private static boolean isHeadWrite(StoreCommand command) {
+        return command instanceof StoreCommand.CompareAndSwap swap
+                && swap.key().equals(ConfigurationKeys.HEAD);
+    }
+
+    private PublishResult publish(String submission, long base) {
+        return publish(publisher(store, sets.functions()), request(submission, base, false));
+    }
+
+    private PublishResult publish(Publisher publisher, PublishRequest request) {
+        CompletableFuture<PublishResult> result = publisher.publish(request).toCompletableFuture();
+        time.advance(120_000);
+        return result.getNow(null);
+    }
+
+    private Publisher publisher(Store used, ObjectSetFunctions functions) {
+        return new StorePublisher(used, time, time::now, functions, () -> 41, EventLog.NONE);
+    }
+
+    private static PublishRequest request(String submission, long base, boolean dryRun) {
+        ObjectSet set = FakeSets.withSlots((int) base + 1);
+        return new PublishRequest("operator", submission, base, set, dryRun);
+    }
+}
