--- /dev/null
+++ b/standins/src/main/java/org/sequoiaspindle/standins/protocol/HttpReply.java
@@ -0,0 +1,40 @@
+package org.sequoiaspindle.standins.protocol;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.sequoiaspindle.standins.state.Content;
+
+/** A complete answer. */
+public record HttpReply(int status, Map<String, String> headers, Content body) {
+
+    private static final String CONTENT_TYPE = "Content-Type";
+
+    public HttpReply {
+        headers = Map.copyOf(headers);
+    }
+
+    public static HttpReply empty(int status) {
+        return new HttpReply(status, Map.of(), Content.empty());
+    }
+
+    public static HttpReply bytes(Content body) {
+        return new HttpReply(200, Map.of(CONTENT_TYPE, "application/octet-stream"), body);
+    }
+
+    /** An answer whose body is the JSON form of the value. */
+    public static HttpReply json(int status, Object value) {
+        return new HttpReply(
+                status, Map.of(CONTENT_TYPE, "application/json"), Content.of(Json.write(value)));
+    }
+
+    /** An error with a reason for people. */
+    public static HttpReply error(int status, String reason) {
+        return json(status, Map.of("error", reason));
+    }
+
+    public HttpReply withHeader(String name, Object value) {
+        Map<String, String> extended = new HashMap<>(headers);
+        extended.put(name, value.toString());
+        return new HttpReply(status, extended, body);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sequoiaspindle/standins/state/ServiceOptions.java
@@ -0,0 +1,37 @@
+package org.sequoiaspindle.standins.state;
+
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Options of the plain-service stand-in.
+ *
+ * @param serviceMs median of the service time, in milliseconds
+ * @param sigma standard deviation of the logarithm of the service time, 0 for a fixed time
+ */
+public record ServiceOptions(EndpointOptions common, double serviceMs, double sigma) {
+
+    private static final double DEFAULT_SERVICE_MS = 20;
+    private static final Set<String> OWN_NAMES = Set.of("serviceMs", "sigma");
+
+    /** Names of all options. */
+    public static Set<String> names() {
+        Set<String> names = new HashSet<>(EndpointOptions.NAMES);
+        names.addAll(OWN_NAMES);
+        return Set.copyOf(names);
+    }
+
+    public static ServiceOptions from(Settings settings) {
+        settings.allowing(names());
+        return new ServiceOptions(
+                EndpointOptions.from(settings),
+                settings.decimal("serviceMs", DEFAULT_SERVICE_MS),
+                settings.decimal("sigma", 0));
+    }
+
+    /** Reads options by name, such as {@code Map.of("slots", "2", "serviceMs", "1")}. */
+    public static ServiceOptions of(Map<String, String> values) {
+        return from(new Settings(values));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sequoiaspindle/standins/state/WireName.java
@@ -0,0 +1,42 @@
+package org.sequoiaspindle.standins.state;
+
+import java.util.Arrays;
+import java.util.Locale;
+
+/** Translates between constants such as {@code STALE_READ} and names such as {@code staleRead}. */
+public final class WireName {
+
+    private WireName() {}
+
+    public static <E extends Enum<E>> String of(E constant) {
+        StringBuilder name = new StringBuilder();
+        for (String word : constant.name().toLowerCase(Locale.ROOT).split("_")) {
+            name.append(name.length() == 0 ? word : capitalised(word));
+        }
+        return name.toString();
+    }
+
+    /**
+     * Finds the constant with this name.
+     *
+     * @throws IllegalArgumentException if there is none; the message lists the known names
+     */
+    public static <E extends Enum<E>> E parse(Class<E> type, String name) {
+        return Arrays.stream(type.getEnumConstants())
+                .filter(constant -> of(constant).equals(name))
+                .findFirst()
+                .orElseThrow(() -> unknown(type, name));
+    }
+
+    private static <E extends Enum<E>> IllegalArgumentException unknown(
+            Class<E> type, String name) {
+        String known =
+                String.join(
+                        ", ", Arrays.stream(type.getEnumConstants()).map(WireName::of).toList());
+        return new IllegalArgumentException("unknown name " + name + "; known: " + known);
+    }
+
+    private static String capitalised(String word) {
+        return word.substring(0, 1).toUpperCase(Locale.ROOT) + word.substring(1);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/Server.java
@@ -0,0 +1,12 @@
+package org.sequoiaspindle.standins.transport;
+
+/** A running stand-in. */
+public interface Server extends AutoCloseable {
+
+    /** Address as {@code ip:port}. */
+    String address();
+
+    /** Stops listening and closes all connections. */
+    @Override
+    void close();
+}
