Add the endpoint and link stand-ins, the fleet and the main program

Cause: routing, retry and at-most-once logic need engines, plain services and links whose faults can be ordered and whose answers can be computed. Change: EngineServer and ServiceServer on shared slots with a bounded priority queue, ordered faults and lagging load reports; LinkProxy; Fleet; StandinMain and bin/standin.

--- /dev/null
+++ b/standins/src/main/java/org/sequoiaspindle/standins/coordination/ExecutionCounts.java
@@ -0,0 +1,57 @@
+package org.sequoiaspindle.standins.coordination;
+
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Counts the executions of a service by request and by input. */
+public final class ExecutionCounts {
+
+    // Longer inputs are counted under their beginning and digest to bound the memory.
+    private static final int MAX_INPUT_CHARS = 200;
+
+    private final AtomicLong total = new AtomicLong();
+    private final Map<String, Long> byRequest = new ConcurrentHashMap<>();
+    private final Map<String, Long> byInput = new ConcurrentHashMap<>();
+
+    public void add(String requestId, String input) {
+        total.incrementAndGet();
+        byRequest.merge(requestId, 1L, Long::sum);
+        byInput.merge(keyOf(input), 1L, Long::sum);
+    }
+
+    public long total() {
+        return total.get();
+    }
+
+    public long ofRequest(String requestId) {
+        return byRequest.getOrDefault(requestId, 0L);
+    }
+
+    public long ofInput(String input) {
+        return byInput.getOrDefault(keyOf(input), 0L);
+    }
+
+    public Map<String, Long> byRequest() {
+        return new TreeMap<>(byRequest);
+    }
+
+    public Map<String, Long> byInput() {
+        return new TreeMap<>(byInput);
+    }
+
+    public void reset() {
+        total.set(0);
+        byRequest.clear();
+        byInput.clear();
+    }
+
+    private static String keyOf(String input) {
+        return input.length() <= MAX_INPUT_CHARS
+                ? input
+                : input.substring(0, MAX_INPUT_CHARS)
+                        + "#"
+                        + Long.toHexString(ExpectedAnswers.digest(input));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sequoiaspindle/standins/coordination/ExpectedAnswers.java
@@ -0,0 +1,43 @@
+package org.sequoiaspindle.standins.coordination;
+
+/** Answers of the endpoint stand-ins as pure functions of their input. */
+public final class ExpectedAnswers {
+
+    private static final long FNV_OFFSET = 0xCBF29CE484222325L;
+    private static final long FNV_PRIME = 0x100000001B3L;
+    private static final long WORDS = 36 * 36 * 36 * 36;
+
+    private ExpectedAnswers() {}
+
+    /**
+     * Digest of the input, computed once per call because an input may have a million characters.
+     */
+    public static long digest(String input) {
+        long hash = FNV_OFFSET;
+        for (int i = 0; i < input.length(); i++) {
+            hash = (hash ^ input.charAt(i)) * FNV_PRIME;
+        }
+        return hash;
+    }
+
+    /** Text of the token at a position of the answer to the input with this digest. */
+    public static String token(long digest, long position) {
+        long word = Math.floorMod(Draws.mix(digest, position), WORDS);
+        return (position == 0 ? "" : " ") + Long.toString(word, Character.MAX_RADIX);
+    }
+
+    /** Text of all tokens in order. */
+    public static String answer(String input, long maxTokens) {
+        long digest = digest(input);
+        StringBuilder text = new StringBuilder();
+        for (long position = 0; position < maxTokens; position++) {
+            text.append(token(digest, position));
+        }
+        return text.toString();
+    }
+
+    /** Output of a stage that does not stream. */
+    public static String output(String stage, String input) {
+        return stage + ":" + Long.toHexString(Draws.mix(digest(stage), digest(input)));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sequoiaspindle/standins/protocol/ExecuteCall.java
@@ -0,0 +1,54 @@
+package org.sequoiaspindle.standins.protocol;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.OptionalLong;
+
+/**
+ * Call of a stage as it arrives at an endpoint.
+ *
+ * @param deadlineMs time left on arrival, absent if the call has no deadline
+ * @param priority lower values run first
+ * @param streams whether the caller takes a stream of events
+ * @param maxTokens length of the whole answer in tokens, counted from position 0
+ * @param resumeFrom position of the first token to send
+ * @param resumeText text of the tokens before that position
+ */
+record ExecuteCall(
+        String requestId,
+        long attempt,
+        String stage,
+        OptionalLong deadlineMs,
+        int priority,
+        boolean streams,
+        String input,
+        long maxTokens,
+        long resumeFrom,
+        String resumeText) {
+
+    private static final String JSON_TYPE = "application/json";
+
+    /**
+     * Reads a call.
+     *
+     * @throws IllegalArgumentException if it is malformed
+     */
+    static ExecuteCall of(HttpCall call) {
+        JsonNode body = Json.parse(call.body().text());
+        if (!body.path("input").isTextual()) {
+            throw new IllegalArgumentException("the body must have a text field input");
+        }
+        return new ExecuteCall(
+                call.header("sequoia-request-id").orElse(""),
+                call.header("sequoia-attempt").map(Long::parseLong).orElse(1L),
+                call.header("sequoia-stage").orElse(""),
+                call.header("sequoia-deadline-ms")
+                        .map(text -> OptionalLong.of(Long.parseLong(text)))
+                        .orElseGet(OptionalLong::empty),
+                call.header("sequoia-priority").map(Integer::parseInt).orElse(0),
+                call.header("accept").filter(JSON_TYPE::equals).isEmpty(),
+                body.path("input").asText(),
+                body.path("maxTokens").asLong(0),
+                body.path("resumeFrom").asLong(0),
+                body.path("resumeText").asText(""));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/Fleet.java
@@ -0,0 +1,62 @@
+package org.sequoiaspindle.standins.transport;
+
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.sequoiaspindle.standins.protocol.FleetReader;
+import org.sequoiaspindle.standins.state.EngineOptions;
+import org.sequoiaspindle.standins.state.FleetMember;
+import org.sequoiaspindle.standins.state.ServiceOptions;
+
+/** Many endpoints in one process, on the same event loops. */
+public final class Fleet implements AutoCloseable {
+
+    private final Map<String, EndpointServer> endpoints;
+
+    private Fleet(Map<String, EndpointServer> endpoints) {
+        this.endpoints = Collections.unmodifiableMap(endpoints);
+    }
+
+    /**
+     * Starts the endpoints of a fleet.
+     *
+     * @param spec JSON list of objects with role, name and options
+     * @throws IllegalArgumentException if the text is malformed
+     */
+    public static Fleet start(String spec) {
+        Map<String, EndpointServer> started = new LinkedHashMap<>();
+        Fleet fleet = new Fleet(started);
+        try {
+            for (FleetMember member : FleetReader.read(spec)) {
+                started.put(member.name(), startMember(member));
+            }
+            return fleet;
+        } catch (RuntimeException e) {
+            fleet.close();
+            throw e;
+        }
+    }
+
+    /** Endpoints by name, in the order of the specification. */
+    public Map<String, EndpointServer> endpoints() {
+        return endpoints;
+    }
+
+    /** Addresses by name, in the order of the specification. */
+    public Map<String, String> addresses() {
+        Map<String, String> addresses = new LinkedHashMap<>();
+        endpoints.forEach((name, endpoint) -> addresses.put(name, endpoint.address()));
+        return addresses;
+    }
+
+    @Override
+    public void close() {
+        endpoints.values().forEach(EndpointServer::close);
+    }
+
+    private static EndpointServer startMember(FleetMember member) {
+        return member.role() == FleetMember.Role.ENGINE
+                ? EngineServer.start(EngineOptions.from(member.settings()))
+                : ServiceServer.start(ServiceOptions.from(member.settings()));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/LinkRelay.java
@@ -0,0 +1,33 @@
+package org.sequoiaspindle.standins.transport;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+
+/** Writes what arrives on one socket to the other one. */
+final class LinkRelay extends ChannelInboundHandlerAdapter {
+
+    private final Channel other;
+
+    LinkRelay(Channel other) {
+        this.other = other;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object bytes) {
+        other.writeAndFlush(bytes);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        // Closing behind an empty write lets bytes that are still queued leave first.
+        other.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        context.close();
+    }
+}
