--- a/standins/src/main/java/org/sequoiaspindle/standins/transport/LinkPair.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/LinkPair.java
@@ -56,9 +56,10 @@
                 });
     }
 
-    private void readIfAllowed() {
-        caller.config().setAutoRead(open && !silent);
-        far.config().setAutoRead(open && !silent);
+    /** Reads each socket only while the other one takes bytes, which bounds the memory. */
+    void readIfAllowed() {
+        caller.config().setAutoRead(open && !silent && far.isWritable());
+        far.config().setAutoRead(open && !silent && caller.isWritable());
     }
 
     private CompletableFuture<Void> onLoop(Runnable action) {
--- a/standins/src/main/java/org/sequoiaspindle/standins/transport/LinkProxy.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/LinkProxy.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
@@ -95,13 +96,14 @@
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.AUTO_READ, false)
                         .option(ChannelOption.TCP_NODELAY, true)
-                        .handler(new LinkRelay(caller))
+                        .handler(new ChannelInboundHandlerAdapter())
                         .connect(target);
         Channel far = connecting.channel();
         LinkPair pair = new LinkPair(caller, far);
         pairs.add(pair);
         caller.closeFuture().addListener(closed -> pairs.remove(pair));
-        caller.pipeline().addLast(new LinkRelay(far));
+        caller.pipeline().addLast(new LinkRelay(far, pair::readIfAllowed));
+        far.pipeline().addLast(new LinkRelay(caller, pair::readIfAllowed));
         connecting.addListener(connected -> opened(pair, connected.isSuccess()));
     }
 
--- a/standins/src/main/java/org/sequoiaspindle/standins/transport/LinkRelay.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/LinkRelay.java
@@ -10,9 +10,11 @@
 final class LinkRelay extends ChannelInboundHandlerAdapter {
 
     private final Channel other;
+    private final Runnable onWritabilityChange;
 
-    LinkRelay(Channel other) {
+    LinkRelay(Channel other, Runnable onWritabilityChange) {
         this.other = other;
+        this.onWritabilityChange = onWritabilityChange;
     }
 
     @Override
@@ -20,6 +22,11 @@
         other.writeAndFlush(bytes);
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext context) {
+        onWritabilityChange.run();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         // Closing behind an empty write lets bytes that are still queued leave first.
--- /dev/null
+++ b/standins/src/test/java/org/sequoiaspindle/standins/transport/EngineServerTest.java
@@ -0,0 +1,161 @@
+package org.sequoiaspindle.standins.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.standins.Await;
+import org.sequoiaspindle.standins.Client;
+import org.sequoiaspindle.standins.RawCall;
+import org.sequoiaspindle.standins.state.EndpointFault;
+import org.sequoiaspindle.standins.state.EngineOptions;
+import org.sequoiaspindle.standins.state.LoadReport;
+
+/** Guards against an engine that runs more than its slots, or whose stream is wrong unordered. */
+final class EngineServerTest {
+
+    private static final String ENDLESS = "{\"input\":\"long\",\"maxTokens\":1000000000}";
+    private static final String FOUR_TOKENS = "{\"input\":\"abc\",\"maxTokens\":4}";
+
+    private final EngineServer engine =
+            EngineServer.start(
+                    EngineOptions.of(
+                            Map.of(
+                                    "slots", "2",
+                                    "queueLimit", "3",
+                                    "prefillMsPerKToken", "0",
+                                    "tokenMs", "1")));
+    private final List<RawCall> calls = new ArrayList<>();
+
+    @AfterEach
+    void close() {
+        calls.forEach(RawCall::close);
+        engine.close();
+    }
+
+    @Test
+    void theStreamHoldsTheExpectedTokensAndTheirTotal() {
+        List<String> data = execute(FOUR_TOKENS).allData();
+        assertEquals(tokens(0, 1, 2, 3), data.subList(0, 4));
+        assertTrue(data.get(4).startsWith("data: {\"tokens\":4,"), data.get(4));
+        assertEquals(
+                EngineServer.expectedAnswer("abc", 4),
+                LongStream.range(0, 4)
+                        .mapToObj(position -> EngineServer.expectedToken("abc", position))
+                        .collect(Collectors.joining()));
+    }
+
+    @Test
+    void aResumedStreamBeginsAtItsPositionAndCountsFromZero() {
+        List<String> data =
+                execute("{\"input\":\"abc\",\"maxTokens\":4,\"resumeFrom\":2}").allData();
+        assertEquals(tokens(2, 3), data.subList(0, 2));
+        assertTrue(data.get(2).startsWith("data: {\"tokens\":4,"), data.get(2));
+    }
+
+    @Test
+    void atMostSlotsCallsRunAndTheQueueIsBounded() {
+        for (int i = 0; i < 5; i++) {
+            execute(ENDLESS);
+        }
+        Await.until(() -> engine.load().equals(new LoadReport(2, 3, 2)));
+        HttpResponse<String> refused =
+                Client.send("POST", engine.address(), "/v1/execute", FOUR_TOKENS);
+        assertEquals(503, refused.statusCode());
+        assertEquals("true", refused.headers().firstValue("Sequoia-Not-Run").orElseThrow());
+        Await.until(() -> engine.stats().get("started") == 2);
+        assertEquals(1, engine.stats().get("refused"));
+    }
+
+    @Test
+    void aClosedConnectionFreesItsSlotForTheMostUrgentWaitingCall() {
+        RawCall first = execute(ENDLESS);
+        execute(ENDLESS);
+        Await.until(() -> engine.load().running() == 2);
+        RawCall patient = execute(ENDLESS, "Sequoia-Priority: 1");
+        Await.until(() -> engine.load().queued() == 1);
+        RawCall urgent = execute(ENDLESS, "Sequoia-Priority: 0");
+        Await.until(() -> engine.load().queued() == 2);
+        first.close();
+        assertEquals(token("long", 0), urgent.nextData());
+        assertEquals(new LoadReport(2, 1, 2), engine.load());
+        urgent.close();
+        assertEquals(token("long", 0), patient.nextData());
+        assertEquals(2, engine.stats().get("cancelled"));
+    }
+
+    @Test
+    void aWaitingCallIsRefusedWhenItsDeadlinePasses() {
+        execute(ENDLESS);
+        execute(ENDLESS);
+        Await.until(() -> engine.load().running() == 2);
+        HttpResponse<String> late =
+                Client.send(
+                        "POST",
+                        engine.address(),
+                        "/v1/execute",
+                        FOUR_TOKENS,
+                        "Sequoia-Deadline-Ms",
+                        "5");
+        assertEquals(503, late.statusCode());
+        assertEquals("true", late.headers().firstValue("Sequoia-Not-Run").orElseThrow());
+        assertEquals(new LoadReport(2, 0, 2), engine.load());
+    }
+
+    @Test
+    void duplicateReorderAndCutStreamsAreFaultyAsOrdered() {
+        engine.fault(EndpointFault.of(EndpointFault.Mode.DUPLICATE));
+        assertEquals(tokens(0, 0, 1, 1, 2, 2, 3, 3), execute(FOUR_TOKENS).allData().subList(0, 8));
+        engine.fault(EndpointFault.of(EndpointFault.Mode.REORDER));
+        assertEquals(tokens(0, 2, 1, 3), execute(FOUR_TOKENS).allData().subList(0, 4));
+        engine.fault(EndpointFault.of(EndpointFault.Mode.CUT));
+        assertEquals(tokens(0, 1), execute(FOUR_TOKENS).allData());
+    }
+
+    @Test
+    void aFrozenStreamGoesOnWhereItStoodAfterTheFault() {
+        RawCall call = execute("{\"input\":\"abc\",\"maxTokens\":200}");
+        assertEquals(token("abc", 0), call.nextData());
+        engine.fault(EndpointFault.of(EndpointFault.Mode.FROZEN));
+        RawCall later = execute(FOUR_TOKENS);
+        Await.until(() -> engine.load().running() == 2);
+        assertEquals(1, engine.stats().get("started"));
+        assertEquals(0, engine.stats().get("completed"));
+        engine.fault(EndpointFault.none());
+        assertEquals(200, call.allData().size());
+        assertEquals(5, later.allData().size());
+    }
+
+    @Test
+    void anErrorAndALostAnswerComeAfterTheExecution() {
+        engine.fault(EndpointFault.of(EndpointFault.Mode.ERROR));
+        HttpResponse<String> failed =
+                Client.send("POST", engine.address(), "/v1/execute", FOUR_TOKENS);
+        assertEquals(500, failed.statusCode());
+        engine.fault(EndpointFault.of(EndpointFault.Mode.CLOSE_BEFORE_ANSWER));
+        assertEquals(List.of(), execute(FOUR_TOKENS).allData());
+        assertEquals(2, engine.stats().get("completed"));
+    }
+
+    private RawCall execute(String body, String... headers) {
+        RawCall call = RawCall.execute(engine.address(), body, headers);
+        calls.add(call);
+        return call;
+    }
+
+    private static List<String> tokens(long... positions) {
+        return LongStream.of(positions).mapToObj(position -> token("abc", position)).toList();
+    }
+
+    private static String token(String input, long position) {
+        return "data: {\"position\":%d,\"text\":\"%s\"}"
+                .formatted(position, EngineServer.expectedToken(input, position));
+    }
+}
--- /dev/null
+++ b/standins/src/test/java/org/sequoiaspindle/standins/transport/FleetTest.java
@@ -0,0 +1,47 @@
+package org.sequoiaspindle.standins.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.standins.Client;
+
+/** Guards against a fleet that loses an endpoint or accepts a malformed specification. */
+final class FleetTest {
+
+    private static final String CALL = "{\"input\":\"a\"}";
+
+    @Test
+    void hundredsOfEndpointsAnswerFromOneProcess() {
+        String spec =
+                IntStream.range(0, 300)
+                        .mapToObj(i -> "{\"role\":\"service\",\"name\":\"s%d\"}".formatted(i))
+                        .collect(Collectors.joining(",\n", "[ // services\n", "]"))
+                        .replace("\"s0\"", "\"s0\",\"serviceMs\":1,\"slots\":3");
+        try (Fleet fleet = Fleet.start(spec)) {
+            assertEquals(300, List.copyOf(fleet.addresses().values()).stream().distinct().count());
+            assertEquals(3, fleet.endpoints().get("s0").load().slots());
+            List<CompletableFuture<HttpResponse<String>>> answers =
+                    fleet.addresses().values().stream()
+                            .map(address -> Client.start("POST", address, "/v1/execute", CALL))
+                            .toList();
+            answers.forEach(answer -> assertEquals(200, answer.join().statusCode()));
+        }
+    }
+
+    @Test
+    void aFleetWithARepeatedNameOrAnUnknownOptionIsRefused() {
+        String endpoint = "{\"role\":\"engine\",\"name\":\"e\"}";
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> Fleet.start("[" + endpoint + "," + endpoint + "]"));
+        assertThrows(
+                IllegalArgumentException.class,
+                () -> Fleet.start("[{\"role\":\"engine\",\"name\":\"e\",\"slot\":1}]"));
+    }
+}
