Check whole object sets and compare them

Cause: a set must be refused as a whole before publication, with all its problems at once, and operators must see what a new set would change.

--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/configuration/ContradictoryRuleCheck.java
@@ -0,0 +1,46 @@
+package org.sequoiaspindle.core.coordination.configuration;
+
+import io.vavr.collection.Vector;
+import org.sequoiaspindle.core.coordination.configuration.ObjectKind.Labelled;
+import org.sequoiaspindle.core.state.ObjectSet;
+import org.sequoiaspindle.core.state.RoutingRule;
+
+/** Finds routing rules that match the same calls but send them to different groups. */
+final class ContradictoryRuleCheck {
+
+    private ContradictoryRuleCheck() {}
+
+    /** One problem for each rule that contradicts the first rule with the same conditions. */
+    static Vector<Problem> check(ObjectSet set) {
+        return ObjectKind.ROUTING_RULES
+                .labelled(set)
+                .sortBy(entry -> entry.object().order())
+                .groupBy(entry -> RuleMatch.of(entry.object()))
+                .values()
+                .toVector()
+                .flatMap(ContradictoryRuleCheck::contradictions);
+    }
+
+    private static Vector<Problem> contradictions(Vector<Labelled<RoutingRule>> sameMatch) {
+        Labelled<RoutingRule> first = sameMatch.head();
+        return sameMatch
+                .tail()
+                .filter(
+                        entry ->
+                                !entry.object()
+                                        .endpointGroup()
+                                        .equals(first.object().endpointGroup()))
+                .map(entry -> problem(entry.label(), first));
+    }
+
+    private static Problem problem(String label, Labelled<RoutingRule> first) {
+        return new Problem(
+                "contradictory-rule",
+                ObjectKind.ROUTING_RULES.name(),
+                label,
+                "endpointGroup",
+                "rule %s matches the same calls and sends them to %s; keep one of the two"
+                        .formatted(
+                                first.label(), ObjectNames.quoted(first.object().endpointGroup())));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/configuration/EmptyGroupCheck.java
@@ -0,0 +1,51 @@
+package org.sequoiaspindle.core.coordination.configuration;
+
+import io.vavr.collection.Set;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import java.util.function.Function;
+import org.sequoiaspindle.core.state.Endpoint;
+import org.sequoiaspindle.core.state.NamedObject;
+import org.sequoiaspindle.core.state.ObjectSet;
+
+/** Finds groups that stages or routing rules send calls to, but that have no endpoint. */
+final class EmptyGroupCheck {
+
+    private EmptyGroupCheck() {}
+
+    static Vector<Problem> check(ObjectSet set) {
+        Set<String> filled = set.endpoints().map(Endpoint::group).toSet();
+        return ObjectKind.ENDPOINT_GROUPS
+                .labelled(set)
+                .filter(entry -> !filled.contains(entry.object().name()))
+                .flatMap(entry -> user(entry.object().name(), set).map(problemOf(entry.label())));
+    }
+
+    private static Option<String> user(String group, ObjectSet set) {
+        return set.stages()
+                .find(stage -> stage.endpointGroup().equals(group))
+                .map(stage -> describe("stage", stage))
+                .orElse(
+                        () ->
+                                set.routingRules()
+                                        .find(rule -> rule.endpointGroup().equals(group))
+                                        .map(rule -> describe("routing rule", rule)));
+    }
+
+    private static String describe(String kind, NamedObject user) {
+        return kind + " " + ObjectNames.quoted(user.name());
+    }
+
+    private static Function<String, Problem> problemOf(String label) {
+        return user ->
+                new Problem(
+                        "group-without-endpoint",
+                        ObjectKind.ENDPOINT_GROUPS.name(),
+                        label,
+                        "",
+                        "is used by "
+                                + user
+                                + " but has no endpoint; add an endpoint with this group, or use"
+                                + " another group there");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/configuration/NameCheck.java
@@ -0,0 +1,48 @@
+package org.sequoiaspindle.core.coordination.configuration;
+
+import io.vavr.collection.Vector;
+import org.sequoiaspindle.core.state.NamedObject;
+import org.sequoiaspindle.core.state.ObjectSet;
+
+/** Finds names of objects and data centres that are not well formed. */
+final class NameCheck {
+
+    private static final String CODE = "malformed-name";
+
+    private NameCheck() {}
+
+    static Vector<Problem> check(ObjectSet set) {
+        return ObjectKind.ALL
+                .flatMap(kind -> objectNames(kind, set))
+                .appendAll(dataCentreNames(set));
+    }
+
+    private static <T extends NamedObject> Vector<Problem> objectNames(
+            ObjectKind<T> kind, ObjectSet set) {
+        return kind.labelled(set)
+                .filter(entry -> !ObjectNames.isWellFormed(entry.object().name()))
+                .map(entry -> problem(kind, entry.label(), "name", entry.object().name()));
+    }
+
+    private static Vector<Problem> dataCentreNames(ObjectSet set) {
+        return ObjectKind.ENDPOINTS
+                .labelled(set)
+                .filter(entry -> !ObjectNames.isWellFormed(entry.object().dataCentre()))
+                .map(
+                        entry ->
+                                problem(
+                                        ObjectKind.ENDPOINTS,
+                                        entry.label(),
+                                        "dataCentre",
+                                        entry.object().dataCentre()));
+    }
+
+    private static Problem problem(ObjectKind<?> kind, String label, String field, String value) {
+        return new Problem(
+                CODE,
+                kind.name(),
+                label,
+                field,
+                ObjectNames.quoted(value) + " is not a name; use " + ObjectNames.RULE);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/configuration/NonIdempotentStageCheck.java
@@ -0,0 +1,38 @@
+package org.sequoiaspindle.core.coordination.configuration;
+
+import io.vavr.collection.Set;
+import io.vavr.collection.Vector;
+import org.sequoiaspindle.core.state.ObjectSet;
+import org.sequoiaspindle.core.state.Stage;
+
+/**
+ * Finds pipelines with several non-idempotent stages. With two of them, one could have run while
+ * the other provably did not, and no single outcome would tell the caller what to repeat.
+ */
+final class NonIdempotentStageCheck {
+
+    private NonIdempotentStageCheck() {}
+
+    static Vector<Problem> check(ObjectSet set) {
+        Set<String> nonIdempotent =
+                set.stages().filter(stage -> !stage.idempotent()).map(Stage::name).toSet();
+        return ObjectKind.PIPELINES
+                .labelled(set)
+                .filter(entry -> entry.object().stages().count(nonIdempotent::contains) > 1)
+                .map(
+                        entry ->
+                                problem(
+                                        entry.label(),
+                                        entry.object().stages().filter(nonIdempotent::contains)));
+    }
+
+    private static Problem problem(String label, Vector<String> stages) {
+        return new Problem(
+                "several-non-idempotent-stages",
+                ObjectKind.PIPELINES.name(),
+                label,
+                "stages",
+                "has %d non-idempotent stages (%s) but may have one; split the pipeline"
+                        .formatted(stages.size(), stages.map(ObjectNames::quoted).mkString(", ")));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/configuration/OverflowCycleCheck.java
@@ -0,0 +1,48 @@
+package org.sequoiaspindle.core.coordination.configuration;
+
+import io.vavr.collection.Map;
+import io.vavr.collection.Vector;
+import org.sequoiaspindle.core.state.EndpointGroup;
+import org.sequoiaspindle.core.state.ObjectSet;
+
+/** Finds endpoint groups whose chain of overflows leads back to themselves. */
+final class OverflowCycleCheck {
+
+    private OverflowCycleCheck() {}
+
+    /** One problem for each cycle, reported for the group that comes first by name. */
+    static Vector<Problem> check(ObjectSet set) {
+        Map<String, EndpointGroup> groups =
+                set.endpointGroups().toMap(EndpointGroup::name, group -> group);
+        return groups.keySet()
+                .toVector()
+                .map(name -> chainFrom(name, groups))
+                .filter(chain -> leadsBack(chain, groups))
+                .filter(chain -> chain.min().contains(chain.head()))
+                .map(OverflowCycleCheck::problem);
+    }
+
+    private static Vector<String> chainFrom(String start, Map<String, EndpointGroup> groups) {
+        Vector<String> chain = Vector.of(start);
+        var next = groups.get(start).flatMap(EndpointGroup::overflow);
+        while (next.isDefined() && !chain.contains(next.get())) {
+            chain = chain.append(next.get());
+            next = groups.get(next.get()).flatMap(EndpointGroup::overflow);
+        }
+        return chain;
+    }
+
+    private static boolean leadsBack(Vector<String> chain, Map<String, EndpointGroup> groups) {
+        return groups.get(chain.last()).flatMap(EndpointGroup::overflow).contains(chain.head());
+    }
+
+    private static Problem problem(Vector<String> chain) {
+        String path = chain.append(chain.head()).map(ObjectNames::quoted).mkString(" -> ");
+        return new Problem(
+                "overflow-cycle",
+                ObjectKind.ENDPOINT_GROUPS.name(),
+                ObjectNames.labelOf(chain.head(), 1),
+                "overflow",
+                "the overflows form a cycle " + path + "; remove one of them");
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/configuration/ConfigurationCheckerTest.java
@@ -0,0 +1,103 @@
+package org.sequoiaspindle.core.coordination.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.collection.Vector;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.state.ObjectSet;
+import org.sequoiaspindle.core.state.Organisation;
+
+/** Guards against consistent sets that are refused and inconsistent ones that are accepted. */
+final class ConfigurationCheckerTest {
+
+    @Property(seed = "20261204")
+    void consistentSetHasNoProblems(@ForAll("sets") ObjectSet set) {
+        assertEquals(Vector.empty(), ConfigurationChecker.check(set));
+    }
+
+    @Property(seed = "20261204")
+    void singleFaultIsReportedWithItsObjectAndField(
+            @ForAll("sets") ObjectSet set, @ForAll("mutations") Mutations.Mutation mutation) {
+        Vector<Problem> problems = ConfigurationChecker.check(mutation.apply().apply(set));
+
+        assertTrue(mutation.isReportedIn(problems), () -> mutation + " gave " + problems);
+    }
+
+    @Property(seed = "20261204")
+    void severalFaultsAreReportedTogether(
+            @ForAll("sets") ObjectSet set,
+            @ForAll("mutations") Mutations.Mutation one,
+            @ForAll("mutations") Mutations.Mutation other) {
+        int expected = Vector.of(one, other).map(Mutations.Mutation::code).distinct().size();
+        Vector<Problem> problems =
+                ConfigurationChecker.check(other.apply().apply(one.apply().apply(set)));
+
+        assertTrue(problems.map(Problem::code).distinct().size() >= expected);
+    }
+
+    @Property(seed = "20261204")
+    void problemsDoNotDependOnTheOrderOfObjectsOfAKind(
+            @ForAll("sets") ObjectSet set, @ForAll("mutations") Mutations.Mutation mutation) {
+        ObjectSet faulty = mutation.apply().apply(set);
+        ObjectSet reversed =
+                new ObjectSet(
+                        faulty.organisations(),
+                        faulty.operators(),
+                        faulty.endpointGroups().reverse(),
+                        faulty.endpoints().reverse(),
+                        faulty.stages(),
+                        faulty.pipelines().reverse(),
+                        faulty.routingRules());
+
+        assertEquals(ConfigurationChecker.check(faulty), ConfigurationChecker.check(reversed));
+    }
+
+    @Test
+    void problemsAreOrderedByKindThenObjectThenField() {
+        Organisation b = new Organisation("b", "wrong", 0, 0);
+        ObjectSet set =
+                new ObjectSet(
+                        Vector.of(b, new Organisation("a", "wrong", 1, 1)),
+                        Vector.empty(),
+                        Vector.empty(),
+                        Vector.empty(),
+                        Vector.empty(),
+                        Vector.empty(),
+                        Vector.empty());
+
+        assertEquals(
+                Vector.of("a.secretHash", "b.maxConcurrent", "b.secretHash", "b.weight"),
+                ConfigurationChecker.check(set).map(p -> p.object() + "." + p.field()));
+    }
+
+    @Test
+    void messageNeverShowsASecretWrittenInPlaceOfItsHash() {
+        ObjectSet set =
+                new ObjectSet(
+                        Vector.of(new Organisation("a", "hunter2", 1, 1)),
+                        Vector.empty(),
+                        Vector.empty(),
+                        Vector.empty(),
+                        Vector.empty(),
+                        Vector.empty(),
+                        Vector.empty());
+
+        assertTrue(ConfigurationChecker.check(set).forAll(p -> !p.message().contains("hunter2")));
+    }
+
+    @Provide
+    Arbitrary<ObjectSet> sets() {
+        return ConsistentSets.arbitrary();
+    }
+
+    @Provide
+    Arbitrary<Mutations.Mutation> mutations() {
+        return Arbitraries.of(Mutations.ALL.asJava());
+    }
+}
