Read and write object sets as JSON

Cause: operators write sets as JSON with comments, and parts in the store are named by the digest of their text. Change: ObjectSetReader reports all errors of shape at once with their lines, with bounds on size, nesting and lengths; ObjectSetWriter writes a canonical text and a readable one.

--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/json/LocatedValue.java
@@ -0,0 +1,74 @@
+package org.sequoiaspindle.core.protocol.json;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+
+/** A value of a JSON document with the line on which it starts. */
+sealed interface LocatedValue {
+
+    int line();
+
+    /** What the value is, for messages. */
+    String describe();
+
+    /** An object with its members in the order of the document, duplicates included. */
+    record LocatedObject(int line, Vector<Member> members) implements LocatedValue {
+
+        Option<Member> member(String name) {
+            return members.find(member -> member.name().equals(name));
+        }
+
+        @Override
+        public String describe() {
+            return "an object";
+        }
+    }
+
+    /** A member of an object. */
+    record Member(int line, String name, LocatedValue value) {}
+
+    /** An array. */
+    record LocatedArray(int line, Vector<LocatedValue> items) implements LocatedValue {
+
+        @Override
+        public String describe() {
+            return "an array";
+        }
+    }
+
+    /** A string. */
+    record LocatedText(int line, String text) implements LocatedValue {
+
+        @Override
+        public String describe() {
+            return "a string";
+        }
+    }
+
+    /** A number as written. */
+    record LocatedNumber(int line, String text, boolean whole) implements LocatedValue {
+
+        @Override
+        public String describe() {
+            return whole ? "a whole number" : "a fraction";
+        }
+    }
+
+    /** A truth value. */
+    record LocatedBoolean(int line, boolean value) implements LocatedValue {
+
+        @Override
+        public String describe() {
+            return "a boolean";
+        }
+    }
+
+    /** The value null. */
+    record LocatedNull(int line) implements LocatedValue {
+
+        @Override
+        public String describe() {
+            return "null";
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/json/LocatedValueParser.java
@@ -0,0 +1,131 @@
+package org.sequoiaspindle.core.protocol.json;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.sequoiaspindle.core.coordination.configuration.ObjectNames;
+import org.sequoiaspindle.core.coordination.configuration.Problem;
+import org.sequoiaspindle.core.protocol.json.LocatedValue.LocatedArray;
+import org.sequoiaspindle.core.protocol.json.LocatedValue.LocatedBoolean;
+import org.sequoiaspindle.core.protocol.json.LocatedValue.LocatedNull;
+import org.sequoiaspindle.core.protocol.json.LocatedValue.LocatedNumber;
+import org.sequoiaspindle.core.protocol.json.LocatedValue.LocatedObject;
+import org.sequoiaspindle.core.protocol.json.LocatedValue.LocatedText;
+import org.sequoiaspindle.core.protocol.json.LocatedValue.Member;
+
+/** Parses JSON with comments and trailing commas into values that know their lines. */
+final class LocatedValueParser {
+
+    /** 22 parts of at most 1 MB each, rounded down; 12,000 endpoints take about 2 MB. */
+    static final int MAX_DOCUMENT_CHARACTERS = 16 * 1024 * 1024;
+
+    /** An object set nests four deep; the bound keeps the recursion shallow. */
+    private static final int MAX_NESTING = 16;
+
+    private static final int MAX_STRING_CHARACTERS = 64 * 1024;
+    private static final int MAX_NAME_CHARACTERS = 1024;
+    private static final int MAX_NUMBER_CHARACTERS = 64;
+
+    private static final JsonFactory FACTORY =
+            JsonFactory.builder()
+                    .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+                    .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+                    // Keeps quotations of the source, which may hold a secret, out of messages.
+                    .disable(StreamReadFeature.INCLUDE_SOURCE_IN_LOCATION)
+                    .streamReadConstraints(
+                            StreamReadConstraints.builder()
+                                    .maxNestingDepth(MAX_NESTING)
+                                    .maxStringLength(MAX_STRING_CHARACTERS)
+                                    .maxNameLength(MAX_NAME_CHARACTERS)
+                                    .maxNumberLength(MAX_NUMBER_CHARACTERS)
+                                    .build())
+                    .build();
+
+    private LocatedValueParser() {}
+
+    /** The document's value, or the first error of its syntax. */
+    static Either<Problem, LocatedValue> parse(String text) {
+        if (text.length() > MAX_DOCUMENT_CHARACTERS) {
+            return Either.left(
+                    problem(
+                            "too-large",
+                            "the document has %d characters but may have %d"
+                                    .formatted(text.length(), MAX_DOCUMENT_CHARACTERS)));
+        }
+        try (JsonParser parser = FACTORY.createParser(text)) {
+            if (parser.nextToken() == null) {
+                return Either.left(problem("malformed-json", "the document is empty"));
+            }
+            LocatedValue value = value(parser);
+            if (parser.nextToken() != null) {
+                return Either.left(syntax(line(parser), "text after the end of the document"));
+            }
+            return Either.right(value);
+        } catch (JsonProcessingException e) {
+            int line = e.getLocation() == null ? 1 : e.getLocation().getLineNr();
+            return Either.left(syntax(line, e.getOriginalMessage()));
+        } catch (IOException e) {
+            return Either.left(problem("malformed-json", e.getMessage()));
+        }
+    }
+
+    private static LocatedValue value(JsonParser parser) throws IOException {
+        int line = line(parser);
+        return switch (parser.currentToken()) {
+            case START_OBJECT -> new LocatedObject(line, members(parser));
+            case START_ARRAY -> new LocatedArray(line, items(parser));
+            case VALUE_STRING -> new LocatedText(line, parser.getText());
+            case VALUE_NUMBER_INT -> new LocatedNumber(line, parser.getText(), true);
+            case VALUE_NUMBER_FLOAT -> new LocatedNumber(line, parser.getText(), false);
+            case VALUE_TRUE -> new LocatedBoolean(line, true);
+            case VALUE_FALSE -> new LocatedBoolean(line, false);
+            default -> new LocatedNull(line);
+        };
+    }
+
+    private static Vector<Member> members(JsonParser parser) throws IOException {
+        List<Member> members = new ArrayList<>();
+        while (parser.nextToken() != JsonToken.END_OBJECT) {
+            int line = line(parser);
+            String name = parser.currentName();
+            parser.nextToken();
+            members.add(new Member(line, name, value(parser)));
+        }
+        return Vector.ofAll(members);
+    }
+
+    private static Vector<LocatedValue> items(JsonParser parser) throws IOException {
+        List<LocatedValue> items = new ArrayList<>();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            items.add(value(parser));
+        }
+        return Vector.ofAll(items);
+    }
+
+    private static int line(JsonParser parser) {
+        return parser.currentTokenLocation().getLineNr();
+    }
+
+    private static Problem syntax(int line, String message) {
+        return problem(
+                "malformed-json",
+                "line %d: %s; correct the JSON there".formatted(line, firstLine(message)));
+    }
+
+    private static String firstLine(String message) {
+        return ObjectNames.printable(message.lines().findFirst().orElse("not JSON"));
+    }
+
+    private static Problem problem(String code, String message) {
+        return new Problem(code, "", "", "", message);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/json/ObjectShape.java
@@ -0,0 +1,143 @@
+package org.sequoiaspindle.core.protocol.json;
+
+import io.vavr.collection.Seq;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.vavr.control.Validation;
+import java.util.function.Function;
+import org.sequoiaspindle.core.coordination.configuration.ObjectKind;
+import org.sequoiaspindle.core.coordination.configuration.ObjectNames;
+import org.sequoiaspindle.core.coordination.configuration.Problem;
+import org.sequoiaspindle.core.protocol.json.LocatedValue.LocatedArray;
+import org.sequoiaspindle.core.protocol.json.LocatedValue.LocatedBoolean;
+import org.sequoiaspindle.core.protocol.json.LocatedValue.LocatedNull;
+import org.sequoiaspindle.core.protocol.json.LocatedValue.LocatedNumber;
+import org.sequoiaspindle.core.protocol.json.LocatedValue.LocatedObject;
+import org.sequoiaspindle.core.protocol.json.LocatedValue.LocatedText;
+import org.sequoiaspindle.core.protocol.json.LocatedValue.Member;
+
+/**
+ * Typed access to the fields of one object. Each method gives the value or the problems of the
+ * field, so that the caller can combine the problems of all fields.
+ *
+ * @param kind kind of the object
+ * @param label text by which problems refer to the object
+ * @param source the object as written
+ */
+record ObjectShape(ObjectKind<?> kind, String label, LocatedObject source) {
+
+    static ObjectShape of(ObjectKind<?> kind, int position, LocatedObject source) {
+        String name =
+                source.member("name")
+                        .map(Member::value)
+                        .map(value -> value instanceof LocatedText text ? text.text() : "")
+                        .getOrElse("");
+        return new ObjectShape(kind, ObjectNames.labelOf(name, position), source);
+    }
+
+    Validation<Seq<Problem>, String> text(String field) {
+        return required(field, value -> textOf(field, value));
+    }
+
+    Validation<Seq<Problem>, Integer> integer(String field) {
+        return required(field, value -> integerOf(field, value));
+    }
+
+    Validation<Seq<Problem>, Boolean> bool(String field) {
+        return required(
+                field,
+                value ->
+                        value instanceof LocatedBoolean bool
+                                ? Validation.valid(bool.value())
+                                : wrongType(field, value, "true or false"));
+    }
+
+    Validation<Seq<Problem>, Vector<String>> texts(String field) {
+        return required(
+                field,
+                value ->
+                        value instanceof LocatedArray array
+                                ? Validation.sequence(array.items().map(i -> textOf(field, i)))
+                                        .map(Seq::toVector)
+                                : wrongType(field, value, "an array of strings"));
+    }
+
+    /** Absent and null mean the same. */
+    Validation<Seq<Problem>, Option<String>> optionalText(String field) {
+        Option<LocatedValue> value =
+                source.member(field).map(Member::value).filter(v -> !(v instanceof LocatedNull));
+        return value.isEmpty()
+                ? Validation.valid(Option.none())
+                : textOf(field, value.get()).map(Option::some);
+    }
+
+    <E extends Enum<E>> Validation<Seq<Problem>, E> choice(
+            String field, Vector<E> choices, Function<E, String> nameOf) {
+        return text(field)
+                .flatMap(
+                        text ->
+                                choices.find(choice -> nameOf.apply(choice).equals(text))
+                                        .<Validation<Seq<Problem>, E>>map(Validation::valid)
+                                        .getOrElse(
+                                                () -> {
+                                                    String allowed =
+                                                            choices.map(nameOf).mkString(", ");
+                                                    return invalid(
+                                                            "wrong-value",
+                                                            field,
+                                                            source.member(field).get().line(),
+                                                            ObjectNames.quoted(text)
+                                                                    + " is unknown; use one of "
+                                                                    + allowed);
+                                                }));
+    }
+
+    /** Fields that the kind does not have, and fields that are written twice. */
+    Vector<Problem> strayFields() {
+        return MemberNames.stray(
+                source, kind.fields().map(ObjectKind.Field::name), kind.name(), label);
+    }
+
+    private <T> Validation<Seq<Problem>, T> required(
+            String field, Function<LocatedValue, Validation<Seq<Problem>, T>> read) {
+        Option<Member> member = source.member(field);
+        return member.isEmpty()
+                ? invalid("missing-field", field, source.line(), "is missing; add it")
+                : read.apply(member.get().value());
+    }
+
+    private Validation<Seq<Problem>, String> textOf(String field, LocatedValue value) {
+        return value instanceof LocatedText text
+                ? Validation.valid(text.text())
+                : wrongType(field, value, "a string");
+    }
+
+    private Validation<Seq<Problem>, Integer> integerOf(String field, LocatedValue value) {
+        if (!(value instanceof LocatedNumber number) || !number.whole()) {
+            return wrongType(field, value, "a whole number");
+        }
+        try {
+            return Validation.valid(Integer.parseInt(number.text()));
+        } catch (NumberFormatException e) {
+            return invalid(
+                    "out-of-range",
+                    field,
+                    value.line(),
+                    number.text() + " is beyond the range of 32-bit numbers; correct it");
+        }
+    }
+
+    private <T> Validation<Seq<Problem>, T> wrongType(
+            String field, LocatedValue value, String wanted) {
+        return invalid(
+                "wrong-type", field, value.line(), "is " + value.describe() + "; write " + wanted);
+    }
+
+    private <T> Validation<Seq<Problem>, T> invalid(
+            String code, String field, int line, String message) {
+        return Validation.invalid(
+                Vector.of(
+                        new Problem(
+                                code, kind.name(), label, field, "line " + line + ": " + message)));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/json/ObjectSetReaderTest.java
@@ -0,0 +1,190 @@
+package org.sequoiaspindle.core.protocol.json;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.collection.Vector;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.coordination.configuration.ConsistentSets;
+import org.sequoiaspindle.core.coordination.configuration.Problem;
+import org.sequoiaspindle.core.state.ObjectSet;
+
+/** Guards against documents that change on their way, and against errors found one at a time. */
+final class ObjectSetReaderTest {
+
+    @Property(seed = "20261204")
+    void writtenSetIsReadBackWithTheSameObjects(@ForAll("sets") ObjectSet set) {
+        ObjectSet compact = ObjectSetReader.read(ObjectSetWriter.write(set)).get();
+        ObjectSet pretty = ObjectSetReader.read(ObjectSetWriter.writePretty(set)).get();
+
+        assertEquals(sorted(set), compact);
+        assertEquals(compact, pretty);
+    }
+
+    @Property(seed = "20261204")
+    void orderOfObjectsDoesNotChangeTheCanonicalText(@ForAll("sets") ObjectSet set) {
+        ObjectSet reversed =
+                new ObjectSet(
+                        set.organisations().reverse(),
+                        set.operators().reverse(),
+                        set.endpointGroups().reverse(),
+                        set.endpoints().reverse(),
+                        set.stages().reverse(),
+                        set.pipelines().reverse(),
+                        set.routingRules().reverse());
+
+        assertEquals(ObjectSetWriter.write(set), ObjectSetWriter.write(reversed));
+    }
+
+    @Property(seed = "20261204")
+    void noTextMakesTheReaderThrow(@ForAll("texts") String text) {
+        assertNotNull(ObjectSetReader.read(text));
+    }
+
+    @Property(seed = "20261204")
+    void damagedDocumentNeverMakesTheReaderThrow(
+            @ForAll("sets") ObjectSet set, @ForAll int position, @ForAll char replacement) {
+        StringBuilder text = new StringBuilder(ObjectSetWriter.write(set));
+        text.setCharAt(Math.floorMod(position, text.length()), replacement);
+
+        assertNotNull(ObjectSetReader.read(text.toString()));
+    }
+
+    @Test
+    void commentsAndTrailingCommasAreAccepted() {
+        String text =
+                """
+                // head
+                {
+                  /* nobody yet */ "organisations": [],
+                  "operators": [{"name": "ops", "secretHash": "x",},],
+                }
+                """;
+
+        assertEquals("ops", ObjectSetReader.read(text).get().operators().head().name());
+    }
+
+    @Test
+    void everyErrorOfShapeIsReportedWithItsLine() {
+        String text =
+                """
+                {
+                  "organisations": [
+                    {"name": 5, "secretHash": "x", "weight": "1", "maxConcurrent": 1.5},
+                    {"name": "b", "secretHash": "x", "weight": 1, "weight": 2}
+                  ],
+                  "endpointGroups": [
+                    {"name": "g", "kind": "motor"},
+                    7
+                  ],
+                  "endpoints": {},
+                  "stages": [
+                    {"name": "s", "endpointGroup": "g", "idempotent": null, "streams": true,
+                     "expectedMs": 99999999999, "longOverTokens": 1, "colour": "red"}
+                  ],
+                  "pipelines": [
+                    {"name": "p", "stages": ["s", 1], "deadlineMs": 1, "organisations": "all"}
+                  ],
+                  "routes": []
+                }
+                """;
+
+        assertEquals(
+                Vector.of(
+                        "wrong-type organisations #1 name line 3",
+                        "wrong-type organisations #1 weight line 3",
+                        "wrong-type organisations #1 maxConcurrent line 3",
+                        "missing-field organisations b maxConcurrent line 4",
+                        "duplicate-field organisations b weight line 4",
+                        "wrong-value endpointGroups g kind line 7",
+                        "wrong-type endpointGroups #2  line 8",
+                        "wrong-type endpoints   line 10",
+                        "wrong-type stages s idempotent line 12",
+                        "out-of-range stages s expectedMs line 13",
+                        "unknown-field stages s colour line 13",
+                        "wrong-type pipelines p stages line 16",
+                        "wrong-type pipelines p organisations line 16",
+                        "unknown-field   routes line 18"),
+                ObjectSetReader.read(text).getLeft().map(ObjectSetReaderTest::summary));
+    }
+
+    @Test
+    void syntaxErrorIsReportedWithItsLine() {
+        Problem problem = ObjectSetReader.read("{\n\"stages\": [\n}").getLeft().head();
+
+        assertEquals("malformed-json", problem.code());
+        assertTrue(problem.message().startsWith("line 3: "), problem.message());
+    }
+
+    @Test
+    void deepNestingIsRefused() {
+        String text = "{\"stages\":" + "[".repeat(100_000);
+
+        assertEquals("malformed-json", ObjectSetReader.read(text).getLeft().head().code());
+    }
+
+    @Test
+    void oversizedDocumentIsRefused() {
+        String text = " ".repeat(LocatedValueParser.MAX_DOCUMENT_CHARACTERS + 1);
+
+        assertEquals("too-large", ObjectSetReader.read(text).getLeft().head().code());
+    }
+
+    @Provide
+    Arbitrary<ObjectSet> sets() {
+        return ConsistentSets.arbitrary();
+    }
+
+    @Provide
+    Arbitrary<String> texts() {
+        Arbitrary<String> fragments =
+                Arbitraries.of(
+                        "{",
+                        "}",
+                        "[",
+                        "]",
+                        ",",
+                        ":",
+                        "\"stages\"",
+                        "\"name\"",
+                        "1",
+                        "-",
+                        "1e9",
+                        "null",
+                        "true",
+                        "//",
+                        "/*",
+                        "*/",
+                        "\n",
+                        "\\u00",
+                        "\"",
+                        "\u001b",
+                        "\ud800");
+        return Arbitraries.oneOf(
+                Arbitraries.strings().ofMaxLength(40),
+                fragments.list().ofMaxSize(30).map(parts -> String.join("", parts)));
+    }
+
+    private static String summary(Problem problem) {
+        String line = problem.message().substring(0, problem.message().indexOf(':'));
+        return String.join(
+                " ", problem.code(), problem.kind(), problem.object(), problem.field(), line);
+    }
+
+    private static ObjectSet sorted(ObjectSet set) {
+        return new ObjectSet(
+                set.organisations().sortBy(o -> o.name()),
+                set.operators().sortBy(o -> o.name()),
+                set.endpointGroups().sortBy(o -> o.name()),
+                set.endpoints().sortBy(o -> o.name()),
+                set.stages().sortBy(o -> o.name()),
+                set.pipelines().sortBy(o -> o.name()),
+                set.routingRules().sortBy(o -> o.name()));
+    }
+}
