--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/Json.java
@@ -0,0 +1,66 @@
+package org.sequoiaspindle.daemon.protocol;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.control.Option;
+import java.io.IOException;
+
+/** Reads and writes the JSON objects of the daemon's messages. */
+public final class Json {
+
+    private static final ObjectMapper MAPPER =
+            JsonMapper.builder().enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS).build();
+
+    private Json() {}
+
+    public static ObjectNode object() {
+        return MAPPER.createObjectNode();
+    }
+
+    /** The object that the bytes hold, none if they hold anything else. */
+    public static Option<JsonNode> objectIn(byte[] bytes) {
+        try {
+            return Option.of(MAPPER.readTree(bytes)).filter(JsonNode::isObject);
+        } catch (IOException e) {
+            return Option.none();
+        }
+    }
+
+    /** The object that the text holds, none if it holds anything else. */
+    public static Option<JsonNode> objectIn(String text) {
+        try {
+            return Option.of(MAPPER.readTree(text)).filter(JsonNode::isObject);
+        } catch (JsonProcessingException e) {
+            return Option.none();
+        }
+    }
+
+    /** The field as a text, none if it is absent or of another type. */
+    public static Option<String> text(JsonNode object, String field) {
+        return Option.of(object.get(field)).filter(JsonNode::isTextual).map(JsonNode::textValue);
+    }
+
+    /** The field as a whole number, none if it is absent, of another type or out of range. */
+    public static Option<Long> whole(JsonNode object, String field) {
+        return Option.of(object.get(field))
+                .filter(node -> node.isIntegralNumber() && node.canConvertToLong())
+                .map(JsonNode::longValue);
+    }
+
+    /** The field as a whole number of 32 bits, none if it is absent, of another type or larger. */
+    public static Option<Integer> integer(JsonNode object, String field) {
+        return whole(object, field).filter(value -> value == value.intValue()).map(Long::intValue);
+    }
+
+    public static byte[] bytes(JsonNode node) {
+        try {
+            return MAPPER.writeValueAsBytes(node);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a JSON tree can always be written", e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/caller/AnswerWriter.java
@@ -0,0 +1,82 @@
+package org.sequoiaspindle.daemon.protocol.caller;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.collection.Vector;
+import org.sequoiaspindle.core.protocol.endpoint.Token;
+import org.sequoiaspindle.core.protocol.request.Answer;
+import org.sequoiaspindle.core.protocol.request.Reason;
+import org.sequoiaspindle.core.protocol.request.StageReport;
+import org.sequoiaspindle.core.state.Outcome;
+import org.sequoiaspindle.core.state.RequestId;
+import org.sequoiaspindle.daemon.protocol.Json;
+
+/** Maps answers to HTTP statuses and JSON. */
+public final class AnswerWriter {
+
+    private AnswerWriter() {}
+
+    /** HTTP status of an answer that is not streamed. */
+    public static int status(Answer answer) {
+        return switch (answer.outcome()) {
+            case ANSWERED -> 200;
+            case NOT_RUN -> statusNotRun(answer.reason());
+            case FAILED, UNKNOWN -> 502;
+            case DEADLINE_EXCEEDED -> 504;
+        };
+    }
+
+    /** Body of an answer, also the data of the {@code outcome} event. */
+    public static byte[] json(Answer answer, String traceId) {
+        ObjectNode node =
+                Json.object()
+                        .put("outcome", answer.outcome().name())
+                        .put("answer", answer.output())
+                        .put("reason", answer.reason().name())
+                        .put("detail", answer.detail())
+                        .put("requestId", answer.requestId().value())
+                        .put("generation", answer.generation());
+        ArrayNode stages = node.putArray("stages");
+        answer.stages().forEach(report -> stages.add(stage(report)));
+        return Json.bytes(node.put("traceId", traceId));
+    }
+
+    /** Data of a {@code token} event. */
+    public static byte[] json(Token token) {
+        return Json.bytes(
+                Json.object().put("position", token.position()).put("text", token.text()));
+    }
+
+    /** Answer to a request that was not handed on; it has no request id. */
+    public static Answer answer(Rejection rejection) {
+        return new Answer(
+                new RequestId(""),
+                Outcome.NOT_RUN,
+                rejection.reason(),
+                rejection.detail(),
+                "",
+                0,
+                Vector.empty());
+    }
+
+    private static int statusNotRun(Reason reason) {
+        return switch (reason) {
+            case UNAUTHENTICATED -> 401;
+            case FORBIDDEN -> 403;
+            case UNKNOWN_PIPELINE -> 404;
+            case MALFORMED -> 400;
+            case OVER_LIMIT -> 429;
+            default -> 503;
+        };
+    }
+
+    private static ObjectNode stage(StageReport report) {
+        return Json.object()
+                .put("stage", report.stage())
+                .put("endpoint", report.endpoint())
+                .put("attempt", report.attempt())
+                .put("outcome", report.result())
+                .put("waitMs", report.waitMillis())
+                .put("serviceMs", report.serviceMillis());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/store/PlatformMessages.java
@@ -0,0 +1,55 @@
+package org.sequoiaspindle.daemon.protocol.store;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.collection.Iterator;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import org.sequoiaspindle.core.protocol.peer.ListedInstance;
+import org.sequoiaspindle.daemon.protocol.Json;
+
+/** JSON bodies of the conversation with the platform. */
+public final class PlatformMessages {
+
+    private PlatformMessages() {}
+
+    /** Lease id in the answer to the creation of a lease, none if it is malformed. */
+    public static Option<Long> lease(byte[] body) {
+        return Json.objectIn(body).flatMap(node -> Json.whole(node, "lease"));
+    }
+
+    /** Entries of the list {@code {"instances":[{kind,address,dataCentre,leaving}]}}. */
+    public static Either<String, Vector<ListedInstance>> instances(byte[] body) {
+        Option<JsonNode> array =
+                Json.objectIn(body)
+                        .flatMap(node -> Option.of(node.get("instances")))
+                        .filter(JsonNode::isArray);
+        if (array.isEmpty()) {
+            return Either.left("malformed instance list");
+        }
+        Vector<Option<ListedInstance>> entries =
+                Iterator.ofAll(array.get()).map(PlatformMessages::instance).toVector();
+        return entries.forAll(Option::isDefined)
+                ? Either.right(entries.flatMap(entry -> entry))
+                : Either.left("malformed entry in the instance list");
+    }
+
+    private static Option<ListedInstance> instance(JsonNode node) {
+        Option<ListedInstance.Kind> kind = Json.text(node, "kind").flatMap(PlatformMessages::kind);
+        Option<String> address = Json.text(node, "address");
+        Option<String> dataCentre = Json.text(node, "dataCentre");
+        if (kind.isEmpty() || address.isEmpty() || dataCentre.isEmpty()) {
+            return Option.none();
+        }
+        boolean leaving = node.path("leaving").asBoolean(false);
+        return Option.of(new ListedInstance(kind.get(), address.get(), dataCentre.get(), leaving));
+    }
+
+    private static Option<ListedInstance.Kind> kind(String text) {
+        return switch (text) {
+            case "entry" -> Option.of(ListedInstance.Kind.ENTRY);
+            case "endpoint" -> Option.of(ListedInstance.Kind.ENDPOINT);
+            default -> Option.none();
+        };
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/IpAddresses.java
@@ -0,0 +1,39 @@
+package org.sequoiaspindle.daemon.transport;
+
+import io.netty.util.NetUtil;
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+
+/** Socket addresses in the form {@code ip:port}; names are never resolved. */
+public final class IpAddresses {
+
+    private static final int MAX_PORT = 65_535;
+
+    private IpAddresses() {}
+
+    /** Address in the text, none if it is malformed. IPv6 addresses stand in brackets. */
+    public static Option<InetSocketAddress> parse(String text) {
+        int colon = text.lastIndexOf(':');
+        if (colon < 0) {
+            return Option.none();
+        }
+        String host = text.substring(0, colon);
+        if (host.indexOf(':') >= 0 && !host.startsWith("[")) {
+            return Option.none();
+        }
+        byte[] ip = NetUtil.createByteArrayFromIpAddressString(host);
+        return Option.of(ip)
+                .flatMap(
+                        bytes ->
+                                Try.of(() -> Integer.parseInt(text.substring(colon + 1)))
+                                        .filter(port -> port > 0 && port <= MAX_PORT)
+                                        .mapTry(
+                                                port ->
+                                                        new InetSocketAddress(
+                                                                InetAddress.getByAddress(bytes),
+                                                                port))
+                                        .toOption());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/EndpointAttempt.java
@@ -0,0 +1,77 @@
+package org.sequoiaspindle.daemon.transport.endpoint;
+
+import io.netty.channel.Channel;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicReference;
+import org.sequoiaspindle.core.protocol.endpoint.CallResult;
+import org.sequoiaspindle.core.protocol.endpoint.EndpointCall;
+import org.sequoiaspindle.core.protocol.endpoint.TokenSink;
+import org.sequoiaspindle.daemon.protocol.endpoint.EndpointAnswerReader;
+
+/** One call with its result; knows whether a byte of it may have left this process. */
+final class EndpointAttempt {
+
+    /** Set in place of a connection once the call has ended without one. */
+    private static final Object ENDED_BEFORE_SENDING = new Object();
+
+    private final EndpointCall call;
+    private final EndpointAnswerReader reader;
+    private final CompletableFuture<CallResult> result = new CompletableFuture<>();
+    private final AtomicReference<Object> sentOn = new AtomicReference<>();
+
+    EndpointAttempt(EndpointCall call, TokenSink sink) {
+        this.call = call;
+        this.reader = new EndpointAnswerReader(call, sink);
+    }
+
+    EndpointCall call() {
+        return call;
+    }
+
+    EndpointAnswerReader reader() {
+        return reader;
+    }
+
+    CompletionStage<CallResult> result() {
+        return result;
+    }
+
+    /** Claims the right to write; false if the call was given up before. */
+    boolean startSending(Channel channel) {
+        return sentOn.compareAndSet(null, channel);
+    }
+
+    /** Ends the call if nothing was written. */
+    boolean endBeforeSending(String reason) {
+        boolean ended = sentOn.compareAndSet(null, ENDED_BEFORE_SENDING);
+        if (ended) {
+            result.complete(new CallResult.NotSent(reason));
+        }
+        return ended;
+    }
+
+    /** Ends the call; later verdicts are ignored. */
+    void end(CallResult verdict) {
+        result.complete(verdict);
+    }
+
+    boolean hasEnded() {
+        return result.isDone();
+    }
+
+    /** Gives up the call. Its connection is closed, also if the whole answer is on its way. */
+    void cancel() {
+        if (endBeforeSending("cancelled before sending") || hasEnded()) {
+            return;
+        }
+        if (sentOn.get() instanceof Channel channel) {
+            channel.eventLoop()
+                    .execute(
+                            () ->
+                                    channel.pipeline()
+                                            .get(EndpointConnection.class)
+                                            .abort(this, "cancelled"));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/IdleConnections.java
@@ -0,0 +1,53 @@
+package org.sequoiaspindle.daemon.transport.endpoint;
+
+import io.netty.channel.Channel;
+import io.vavr.collection.List;
+import io.vavr.control.Option;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicReference;
+
+/**
+ * Open connections without a call, by address. Each address has one immutable list that is replaced
+ * by compare-and-set; the connection used last is taken first, so that surplus ones grow old.
+ */
+final class IdleConnections {
+
+    private final ConcurrentMap<String, AtomicReference<List<Channel>>> byAddress =
+            new ConcurrentHashMap<>();
+
+    /** Takes a connection, preferring one whose event loop is the calling thread. */
+    Option<Channel> take(String address) {
+        AtomicReference<List<Channel>> idle = byAddress.get(address);
+        if (idle == null) {
+            return Option.none();
+        }
+        while (true) {
+            List<Channel> before = idle.get();
+            Option<Channel> chosen =
+                    before.find(channel -> channel.eventLoop().inEventLoop())
+                            .orElse(before.headOption());
+            if (chosen.isEmpty() || idle.compareAndSet(before, before.remove(chosen.get()))) {
+                return chosen;
+            }
+        }
+    }
+
+    void add(String address, Channel channel) {
+        byAddress
+                .computeIfAbsent(address, key -> new AtomicReference<>(List.empty()))
+                .updateAndGet(idle -> idle.prepend(channel));
+    }
+
+    /** Forgets a connection; returns false if a call has taken it already. */
+    boolean remove(String address, Channel channel) {
+        AtomicReference<List<Channel>> idle = byAddress.get(address);
+        return idle != null
+                && idle.getAndUpdate(channels -> channels.remove(channel)).contains(channel);
+    }
+
+    /** Closes every connection. */
+    void closeAll() {
+        byAddress.values().forEach(idle -> idle.getAndSet(List.empty()).forEach(Channel::close));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/store/HttpInstanceList.java
@@ -0,0 +1,44 @@
+package org.sequoiaspindle.daemon.transport.store;
+
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import java.util.concurrent.CompletionStage;
+import org.sequoiaspindle.core.protocol.peer.InstanceList;
+import org.sequoiaspindle.core.protocol.peer.ListedInstance;
+import org.sequoiaspindle.daemon.protocol.store.PlatformMessages;
+
+/** Reads the platform's instance list over HTTP. */
+public final class HttpInstanceList implements InstanceList, AutoCloseable {
+
+    private static final long LIMIT_MS = 1000;
+
+    private final PlatformClient client;
+
+    /**
+     * Creates a reader without connections.
+     *
+     * @param address {@code ip:port} of the platform
+     */
+    public HttpInstanceList(String address) {
+        this.client = new PlatformClient(address);
+    }
+
+    @Override
+    public CompletionStage<Either<String, Vector<ListedInstance>>> fetch() {
+        return client.exchange(HttpRequest.GET("/v1/instances"), LIMIT_MS)
+                .thenApply(answer -> answer.flatMap(HttpInstanceList::read));
+    }
+
+    @Override
+    public void close() {
+        client.close();
+    }
+
+    private static Either<String, Vector<ListedInstance>> read(HttpResponse<byte[]> response) {
+        return response.code() == 200
+                ? PlatformMessages.instances(response.getBody().orElse(new byte[0]))
+                : Either.left("status " + response.code());
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/store/PlatformClient.java
@@ -0,0 +1,72 @@
+package org.sequoiaspindle.daemon.transport.store;
+
+import io.micronaut.core.type.Argument;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.client.DefaultHttpClientConfiguration;
+import io.micronaut.http.client.HttpClient;
+import io.vavr.control.Either;
+import io.vavr.control.Try;
+import java.net.URI;
+import java.net.URL;
+import java.time.Duration;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import reactor.core.publisher.Mono;
+
+/**
+ * HTTP exchanges with the platform. Each time limit has a client of its own because Micronaut's
+ * client takes the limit from its configuration; past the limit it closes the connection, which may
+ * have gone silent for good.
+ */
+final class PlatformClient implements AutoCloseable {
+
+    private static final int CONNECT_TIMEOUT_MS = 500;
+    private static final int MAX_ANSWER_BYTES = 4 * 1024 * 1024;
+
+    private final URL base;
+    private final ConcurrentMap<Long, HttpClient> clients = new ConcurrentHashMap<>();
+
+    /**
+     * Creates a client without connections.
+     *
+     * @param address {@code ip:port} of the platform
+     */
+    PlatformClient(String address) {
+        this.base =
+                Try.of(() -> URI.create("http://" + address).toURL())
+                        .getOrElseThrow(
+                                e -> new IllegalArgumentException("not an ip:port: " + address, e));
+    }
+
+    /** Answer of any status, or the reason why there is none. */
+    CompletionStage<Either<String, HttpResponse<byte[]>>> exchange(
+            HttpRequest<?> request, long limitMillis) {
+        HttpClient client = clients.computeIfAbsent(limitMillis, this::create);
+        return Mono.from(
+                        client.exchange(
+                                request, Argument.of(byte[].class), Argument.of(byte[].class)))
+                .timeout(Duration.ofMillis(limitMillis))
+                .map(Either::<String, HttpResponse<byte[]>>right)
+                .onErrorResume(e -> Mono.just(Either.left(String.valueOf(e.getMessage()))))
+                .switchIfEmpty(Mono.just(Either.left("no answer")))
+                .toFuture();
+    }
+
+    @Override
+    public void close() {
+        clients.values().forEach(HttpClient::close);
+    }
+
+    private HttpClient create(long limitMillis) {
+        DefaultHttpClientConfiguration configuration = new DefaultHttpClientConfiguration();
+        configuration.setConnectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MS));
+        configuration.setReadTimeout(Duration.ofMillis(limitMillis));
+        configuration.setMaxContentLength(MAX_ANSWER_BYTES);
+        configuration.setExceptionOnErrorStatus(false);
+        configuration.setFollowRedirects(false);
+        configuration.setNumOfThreads(1);
+        return HttpClient.create(base, configuration);
+    }
+}
