--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/membership/Rendezvous.java
@@ -0,0 +1,23 @@
+package org.sequoiaspindle.core.coordination.membership;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import io.vavr.collection.Vector;
+import java.util.Comparator;
+import java.util.function.Function;
+
+/** Ranking by rendezvous hash: removal of a candidate leaves the order of the others unchanged. */
+final class Rendezvous {
+
+    private Rendezvous() {}
+
+    /** Candidates in rank order for the chooser; ties go by key. */
+    static <T> Vector<T> rank(String chooser, Vector<T> candidates, Function<T, String> key) {
+        Comparator<T> byWeight =
+                Comparator.comparingLong(candidate -> weight(chooser, key.apply(candidate)));
+        return candidates.sorted(byWeight.reversed().thenComparing(key));
+    }
+
+    private static long weight(String chooser, String key) {
+        return Hashing.komihash5_0().hashStream().putString(chooser).putString(key).getAsLong();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/membership/LeavingEndpointsTest.java
@@ -0,0 +1,45 @@
+package org.sequoiaspindle.core.coordination.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Set;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a leaving endpoint that gets work again because another source is silent. */
+final class LeavingEndpointsTest {
+
+    private static final Set<String> EMPTY = HashSet.empty();
+
+    @Test
+    void flagIsClearedOnlyByANewerReportOfTheSameSource() {
+        LeavingEndpoints marked =
+                LeavingEndpoints.none()
+                        .listed(HashSet.of("a:1"), 10)
+                        .answered("b:1", true, 10)
+                        .heard(Reports.report("1", "dc", 1, 10), HashSet.of("c:1"));
+        LeavingEndpoints crossed =
+                marked.listed(EMPTY, 9)
+                        .answered("a:1", false, 20)
+                        .answered("b:1", false, 10)
+                        .heard(Reports.report("1", "dc", 1, 9), EMPTY)
+                        .heard(Reports.report("2", "dc", 1, 20), EMPTY);
+        assertEquals(HashSet.of("a:1", "b:1", "c:1"), crossed.addresses());
+        LeavingEndpoints cleared =
+                crossed.listed(EMPTY, 11)
+                        .answered("b:1", false, 11)
+                        .heard(Reports.report("1", "dc", 2, 1), EMPTY);
+        assertTrue(cleared.addresses().isEmpty());
+    }
+
+    @Test
+    void flagsOfPeersAreNotEchoedAndEndWhenThePeerIsForgotten() {
+        LeavingEndpoints heard =
+                LeavingEndpoints.none().heard(Reports.report("1", "dc", 1, 1), HashSet.of("c:1"));
+        assertTrue(heard.isLeaving("c:1"));
+        assertTrue(heard.own().isEmpty());
+        assertFalse(heard.retainPeers(EMPTY).isLeaving("c:1"));
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/membership/MembershipTableTest.java
@@ -0,0 +1,133 @@
+package org.sequoiaspindle.core.coordination.membership;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
+
+/** Guards against peers that are suspected, revived or forgotten at the wrong time. */
+final class MembershipTableTest {
+
+    private static final PeerReport SELF = Reports.report("0", "dc", 1, 1);
+
+    record Heartbeat(int instance, long incarnation, long sequence, long afterMillis) {}
+
+    /** Keeps every heartbeat that counted and searches them anew for each question. */
+    private static final class NaiveModel {
+        private final Map<Integer, List<long[]>> counted = new HashMap<>();
+
+        void hear(Heartbeat beat, long now) {
+            forget(now);
+            List<long[]> known = counted.computeIfAbsent(beat.instance(), id -> new ArrayList<>());
+            boolean stale =
+                    known.stream()
+                            .anyMatch(
+                                    k ->
+                                            k[0] > beat.incarnation()
+                                                    || k[0] == beat.incarnation()
+                                                            && k[1] >= beat.sequence());
+            if (!stale) {
+                known.add(new long[] {beat.incarnation(), beat.sequence(), now});
+            }
+        }
+
+        void forget(long now) {
+            counted.values().removeIf(known -> known.get(known.size() - 1)[2] < now - 60_000);
+        }
+
+        TreeSet<String> heardSince(long earliest) {
+            TreeSet<String> found = new TreeSet<>(List.of("0"));
+            counted.forEach(
+                    (id, known) -> {
+                        if (known.stream().anyMatch(k -> k[2] >= earliest)) {
+                            found.add(String.valueOf(id));
+                        }
+                    });
+            return found;
+        }
+    }
+
+    @Provide
+    Arbitrary<List<Heartbeat>> heartbeats() {
+        return Combinators.combine(
+                        Arbitraries.integers().between(1, 4),
+                        Arbitraries.longs().between(1, 3),
+                        Arbitraries.longs().between(1, 20),
+                        Arbitraries.of(0L, 1L, 999L, 2_999L, 3_000L, 3_001L, 20_000L, 60_001L))
+                .as(Heartbeat::new)
+                .list()
+                .ofMaxSize(60);
+    }
+
+    @Property(seed = "20261204")
+    void peersAreSuspectedAndForgottenAsInTheNaiveModel(
+            @ForAll("heartbeats") List<Heartbeat> heartbeats) {
+        NaiveModel model = new NaiveModel();
+        MembershipTable table = MembershipTable.of(SELF, Vector.empty(), 0);
+        long now = 0;
+        for (Heartbeat beat : heartbeats) {
+            now += beat.afterMillis();
+            String id = String.valueOf(beat.instance());
+            table = table.heard(Reports.report(id, "dc", beat.incarnation(), beat.sequence()), now);
+            model.hear(beat, now);
+            assertEquals(model.heardSince(now - 3_000), ids(table.liveLocal()));
+            assertEquals(model.heardSince(now - 60_000), ids(table.instances()));
+        }
+    }
+
+    private static TreeSet<String> ids(Vector<Peer> peers) {
+        return new TreeSet<>(peers.map(Peer::instance).asJava());
+    }
+
+    @Test
+    void delayedHeartbeatDoesNotReviveASilentPeer() {
+        MembershipTable table = Reports.table(SELF, Vector.of(Reports.report("1", "dc", 1, 5)));
+        MembershipTable later = table.heard(Reports.report("1", "dc", 1, 4), 10_000);
+        assertEquals(1, later.liveLocal().size());
+    }
+
+    @Test
+    void restartedPeerIsHeardAlthoughItsSequenceStartsAnew() {
+        MembershipTable table = Reports.table(SELF, Vector.of(Reports.report("1", "dc", 1, 500)));
+        MembershipTable later = table.heard(Reports.report("1", "dc", 2, 1), 10_000);
+        assertEquals(2, later.liveLocal().size());
+        MembershipTable afterStale = later.heard(Reports.report("1", "dc", 1, 501), 10_001);
+        assertEquals(2, afterStale.peer("1").get().report().incarnation());
+    }
+
+    @Test
+    void peersOfTheSettingAndOfTheListAreBothKnown() {
+        MembershipTable table =
+                MembershipTable.of(SELF, Vector.of("a:1", SELF.address()), 0)
+                        .listed(Vector.of(new Contact("b:1", Option.of("dc2"))));
+        assertEquals(Vector.of("a:1", "b:1"), table.contacts().map(Contact::address));
+        assertEquals(
+                Vector.of("a:1"), table.listed(Vector.empty()).contacts().map(Contact::address));
+    }
+
+    @Test
+    void suspicionThatIsPassedOnCountsWithoutANewerReport() {
+        PeerReport remote = Reports.report("1", "dc2", 1, 5);
+        MembershipTable table =
+                MembershipTable.of(SELF, Vector.empty(), 0).relayed(remote, false, 0, 0);
+        assertEquals(1, table.at(10_000).liveIn("dc2").size());
+        assertTrue(table.relayed(remote, true, 3_100, 4_000).liveIn("dc2").isEmpty());
+        PeerReport own = Reports.report("1", "dc2", 1, 6);
+        MembershipTable direct = table.heard(own, 1);
+        assertFalse(direct.relayed(own, true, 0, 2).liveIn("dc2").isEmpty());
+    }
+}
