Add the messages between instances and their codec

Instances exchange heartbeats, heads, parts and forwarded calls as MessagePack maps. A frame comes from another process and must not be able to break this one, and a rolling upgrade mixes versions.

PeerMessage lists the messages; one table holds the writer and reader of each.

--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/peer/PeerMessageCodecs.java
@@ -0,0 +1,214 @@
+package org.sequoiaspindle.core.protocol.peer;
+
+import io.vavr.Tuple;
+import io.vavr.collection.HashMap;
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Map;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import java.util.function.Function;
+import org.sequoiaspindle.core.protocol.endpoint.Token;
+
+/** How each kind of message is written and read. Type numbers are never used again. */
+final class PeerMessageCodecs {
+
+    private static final String CORRELATION = "c";
+
+    private static final Vector<Codec<?>> ALL =
+            Vector.of(
+                    new Codec<>(
+                            1,
+                            PeerMessage.Hello.class,
+                            PeerMessageCodecs::hello,
+                            PeerMessageCodecs::hello),
+                    new Codec<>(
+                            2,
+                            PeerMessage.HelloProof.class,
+                            m -> Fields.of("proof", m.proof()),
+                            f -> new PeerMessage.HelloProof(f.text("proof"))),
+                    new Codec<>(
+                            3,
+                            PeerMessage.Heartbeat.class,
+                            PeerMessageCodecs::heartbeat,
+                            PeerMessageCodecs::heartbeat),
+                    new Codec<>(
+                            4,
+                            PeerMessage.Summary.class,
+                            m -> Fields.of("e", m.entries().map(ReportFields::write).asJava()),
+                            f -> new PeerMessage.Summary(f.list("e", ReportFields::entry))),
+                    new Codec<>(
+                            5,
+                            PeerMessage.Directory.class,
+                            m -> Fields.of("e", m.contacts().map(ReportFields::write).asJava()),
+                            f -> new PeerMessage.Directory(f.list("e", ReportFields::contact))),
+                    new Codec<>(
+                            6,
+                            PeerMessage.Announce.class,
+                            m -> Fields.of("head", HeadFields.write(m.head())),
+                            f -> new PeerMessage.Announce(HeadFields.read(f.fields("head")))),
+                    new Codec<>(
+                            7,
+                            PeerMessage.FetchHead.class,
+                            m -> Fields.of(CORRELATION, m.correlation()),
+                            f -> new PeerMessage.FetchHead(f.number(CORRELATION))),
+                    new Codec<>(
+                            8,
+                            PeerMessage.HeadReply.class,
+                            PeerMessageCodecs::headReply,
+                            PeerMessageCodecs::headReply),
+                    new Codec<>(
+                            9,
+                            PeerMessage.FetchParts.class,
+                            m ->
+                                    Fields.of(
+                                            CORRELATION,
+                                            m.correlation(),
+                                            "d",
+                                            HeadFields.writeDigests(m.digests()).asJava()),
+                            f ->
+                                    new PeerMessage.FetchParts(
+                                            f.number(CORRELATION),
+                                            f.list("d", HeadFields::digest))),
+                    new Codec<>(
+                            10,
+                            PeerMessage.PartsReply.class,
+                            m ->
+                                    Fields.of(
+                                            CORRELATION,
+                                            m.correlation(),
+                                            "parts",
+                                            m.parts().toJavaMap(),
+                                            "last",
+                                            m.last()),
+                            PeerMessageCodecs::partsReply),
+                    new Codec<>(
+                            11,
+                            PeerMessage.Forward.class,
+                            m ->
+                                    Fields.of(
+                                            CORRELATION,
+                                            m.correlation(),
+                                            "hops",
+                                            m.hops(),
+                                            "call",
+                                            CallFields.write(m.call())),
+                            f ->
+                                    new PeerMessage.Forward(
+                                            f.number(CORRELATION),
+                                            f.integer("hops"),
+                                            CallFields.call(f.fields("call")))),
+                    new Codec<>(
+                            12,
+                            PeerMessage.ForwardToken.class,
+                            m ->
+                                    Fields.of(
+                                            CORRELATION,
+                                            m.correlation(),
+                                            "p",
+                                            m.token().position(),
+                                            "x",
+                                            m.token().text()),
+                            f ->
+                                    new PeerMessage.ForwardToken(
+                                            f.number(CORRELATION),
+                                            new Token(f.number("p"), f.text("x")))),
+                    new Codec<>(
+                            13,
+                            PeerMessage.ForwardResult.class,
+                            m ->
+                                    Fields.of(
+                                            CORRELATION,
+                                            m.correlation(),
+                                            "result",
+                                            CallFields.write(m.result())),
+                            f ->
+                                    new PeerMessage.ForwardResult(
+                                            f.number(CORRELATION),
+                                            CallFields.result(f.fields("result")))),
+                    new Codec<>(
+                            14,
+                            PeerMessage.Cancel.class,
+                            m -> Fields.of(CORRELATION, m.correlation()),
+                            f -> new PeerMessage.Cancel(f.number(CORRELATION))));
+
+    static final Map<Class<?>, Codec<?>> BY_CLASS =
+            HashMap.ofEntries(ALL.map(codec -> Tuple.of(codec.message(), codec)));
+
+    static final Map<Long, Codec<?>> BY_TYPE =
+            HashMap.ofEntries(ALL.map(codec -> Tuple.of((long) codec.type(), codec)));
+
+    private PeerMessageCodecs() {}
+
+    /** Both directions of one kind of message. */
+    record Codec<M extends PeerMessage>(
+            int type,
+            Class<M> message,
+            Function<M, java.util.Map<String, Object>> writer,
+            Fields.Parser<Fields, M> reader) {
+
+        java.util.Map<String, Object> write(PeerMessage any) {
+            return writer.apply(message.cast(any));
+        }
+    }
+
+    private static java.util.Map<String, Object> hello(PeerMessage.Hello hello) {
+        return Fields.of(
+                "version", hello.version(),
+                "instance", hello.instance(),
+                "dataCentre", hello.dataCentre(),
+                "address", hello.address(),
+                "incarnation", hello.incarnation(),
+                "nonce", hello.nonce());
+    }
+
+    private static PeerMessage.Hello hello(Fields fields) throws MalformedMessageException {
+        return new PeerMessage.Hello(
+                fields.integer("version"),
+                fields.text("instance"),
+                fields.text("dataCentre"),
+                fields.text("address"),
+                fields.number("incarnation"),
+                fields.text("nonce"));
+    }
+
+    private static java.util.Map<String, Object> heartbeat(PeerMessage.Heartbeat heartbeat) {
+        java.util.Map<String, Object> fields = ReportFields.write(heartbeat.report());
+        fields.put("ch", heartbeat.chosen());
+        if (heartbeat.leaving().nonEmpty()) {
+            fields.put("lv", heartbeat.leaving().toJavaList());
+        }
+        return fields;
+    }
+
+    private static PeerMessage.Heartbeat heartbeat(Fields fields) throws MalformedMessageException {
+        return new PeerMessage.Heartbeat(
+                ReportFields.read(fields),
+                fields.flag("ch"),
+                fields.has("lv")
+                        ? HashSet.ofAll(fields.list("lv", text -> Fields.text(text, "lv")))
+                        : HashSet.empty());
+    }
+
+    private static java.util.Map<String, Object> headReply(PeerMessage.HeadReply reply) {
+        java.util.Map<String, Object> fields = Fields.of(CORRELATION, reply.correlation());
+        reply.head().forEach(head -> fields.put("head", HeadFields.write(head)));
+        return fields;
+    }
+
+    private static PeerMessage.HeadReply headReply(Fields fields) throws MalformedMessageException {
+        return new PeerMessage.HeadReply(
+                fields.number(CORRELATION),
+                fields.has("head")
+                        ? Option.of(HeadFields.read(fields.fields("head")))
+                        : Option.none());
+    }
+
+    private static PeerMessage.PartsReply partsReply(Fields fields)
+            throws MalformedMessageException {
+        Map<String, String> parts = HashMap.empty();
+        for (var entry : fields.fields("parts").values().entrySet()) {
+            parts = parts.put(entry.getKey(), Fields.text(entry.getValue(), "part"));
+        }
+        return new PeerMessage.PartsReply(fields.number(CORRELATION), parts, fields.flag("last"));
+    }
+}
