Add the HTTP front end for callers and tests of the HTTP adapters

Cause: callers need an HTTP entry to the RequestHandler port, and the adapters committed before had no tests. Change: Micronaut controller with JSON and server-sent events, bounded streams, detection of callers that are gone; tests play connections byte by byte.

--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/BodyReader.java
@@ -0,0 +1,47 @@
+package org.sequoiaspindle.daemon.transport;
+
+import io.micronaut.http.ServerHttpRequest;
+import io.vavr.control.Option;
+import java.io.ByteArrayOutputStream;
+import java.util.concurrent.CompletionStage;
+import reactor.core.publisher.Flux;
+
+/** Reads whole bodies of requests up to a size without blocking. */
+public final class BodyReader {
+
+    private BodyReader() {}
+
+    /**
+     * Reads the body; the rest of a body that is too large is dropped. The stage fails if the
+     * connection does.
+     *
+     * @return the body, none if it is larger than {@code maxBytes}
+     */
+    public static CompletionStage<Option<byte[]>> read(ServerHttpRequest<?> request, int maxBytes) {
+        return Flux.from(request.byteBody().toByteArrayPublisher())
+                .scanWith(Body::new, (body, chunk) -> body.append(chunk, maxBytes))
+                .takeUntil(body -> body.tooLarge)
+                .last()
+                .map(Body::bytes)
+                .toFuture();
+    }
+
+    /** Bytes read so far; used by one subscription only. */
+    private static final class Body {
+
+        private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        private boolean tooLarge;
+
+        private Body append(byte[] chunk, int maxBytes) {
+            tooLarge = bytes.size() + chunk.length > maxBytes;
+            if (!tooLarge) {
+                bytes.write(chunk, 0, chunk.length);
+            }
+            return this;
+        }
+
+        private Option<byte[]> bytes() {
+            return Option.when(!tooLarge, bytes::toByteArray);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/HttpFrontEnd.java
@@ -0,0 +1,79 @@
+package org.sequoiaspindle.daemon.transport;
+
+import io.micronaut.context.ApplicationContext;
+import io.micronaut.http.netty.channel.EventLoopGroupRegistry;
+import io.micronaut.http.server.netty.NettyHttpServer;
+import io.micronaut.runtime.server.EmbeddedServer;
+import io.netty.channel.EventLoopGroup;
+import io.vavr.collection.Seq;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletionStage;
+
+/** HTTP server of the daemon: Micronaut with the controllers of this module. */
+public final class HttpFrontEnd implements AutoCloseable {
+
+    /** The largest body is an object set; the controllers of callers have a lower limit. */
+    private static final int MAX_BODY_BYTES = 32 * 1024 * 1024;
+
+    private static final int RANDOM_PORT = -1;
+
+    private final ApplicationContext context;
+    private final EmbeddedServer server;
+
+    private HttpFrontEnd(ApplicationContext context) {
+        this.context = context;
+        this.server = context.getBean(EmbeddedServer.class);
+    }
+
+    /**
+     * Creates a server that does not listen yet.
+     *
+     * @param port port to listen on, 0 for any free one
+     */
+    public static HttpFrontEnd create(String host, int port) {
+        Map<String, Object> properties = new HashMap<>();
+        properties.put("micronaut.server.host", host);
+        properties.put("micronaut.server.port", port == 0 ? RANDOM_PORT : port);
+        properties.put("micronaut.server.max-request-size", MAX_BODY_BYTES);
+        properties.put("micronaut.server.log-handled-exceptions", false);
+        return new HttpFrontEnd(
+                ApplicationContext.builder()
+                        .deduceEnvironment(false)
+                        .deduceCloudEnvironment(false)
+                        .environmentPropertySource(false)
+                        .banner(false)
+                        .properties(properties)
+                        .start());
+    }
+
+    /**
+     * Starts to listen; fails if the address cannot be bound.
+     *
+     * @param ports values that the controllers need, one of each class
+     */
+    public void start(Seq<?> ports) {
+        ports.forEach(context::registerSingleton);
+        server.start();
+    }
+
+    /** Port that it listens on. */
+    public int port() {
+        return server.getPort();
+    }
+
+    /** Event loops of the server, to be shared by the clients of the request path. */
+    public EventLoopGroup eventLoops() {
+        return context.getBean(EventLoopGroupRegistry.class).getDefaultEventLoopGroup();
+    }
+
+    /** Stops listening; completes when the answers in progress have been written. */
+    public CompletionStage<?> shutdownGracefully() {
+        return ((NettyHttpServer) server).shutdownGracefully();
+    }
+
+    @Override
+    public void close() {
+        context.close();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/caller/AnswerStream.java
@@ -0,0 +1,81 @@
+package org.sequoiaspindle.daemon.transport.caller;
+
+import io.micronaut.core.io.buffer.ReadBuffer;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.ServerHttpRequest;
+import io.micronaut.http.body.ByteBodyFactory;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.sequoiaspindle.core.protocol.endpoint.Token;
+import org.sequoiaspindle.core.protocol.endpoint.TokenSink;
+import org.sequoiaspindle.core.protocol.request.Answer;
+import org.sequoiaspindle.daemon.protocol.caller.AnswerWriter;
+import org.sequoiaspindle.daemon.protocol.caller.EventStreamWriter;
+import reactor.core.publisher.Sinks;
+import reactor.util.concurrent.Queues;
+
+/**
+ * Answer to one caller as server-sent events. The response starts with the first token or, without
+ * one, with the answer, so that a request that was not run still has its own status.
+ */
+final class AnswerStream implements TokenSink {
+
+    /** Tokens that wait for a slow reader before its request is cancelled. */
+    static final int MAX_BUFFERED = 1024;
+
+    private final CallerConnection connection;
+    private final ByteBodyFactory bodies;
+    private final Sinks.Many<ReadBuffer> events =
+            Sinks.many().unicast().onBackpressureBuffer(Queues.<ReadBuffer>get(MAX_BUFFERED).get());
+    private final CompletableFuture<HttpResponse<?>> response = new CompletableFuture<>();
+
+    AnswerStream(ServerHttpRequest<?> request, CallerConnection connection) {
+        this.connection = connection;
+        this.bodies = request.byteBodyFactory();
+    }
+
+    CompletionStage<HttpResponse<?>> response() {
+        return response;
+    }
+
+    /** Buffers a token; closes the connection of a caller that does not read. */
+    @Override
+    public boolean accept(Token token) {
+        if (!connection.isOpen()) {
+            return false;
+        }
+        if (!emit("token", AnswerWriter.json(token))) {
+            connection.close();
+            return false;
+        }
+        start(HttpStatus.OK.getCode());
+        return true;
+    }
+
+    /** Ends the stream with the outcome; without room for it the connection is closed. */
+    void end(Answer answer, String traceId) {
+        if (emit("outcome", AnswerWriter.json(answer, traceId))) {
+            events.tryEmitComplete();
+        } else {
+            connection.close();
+            events.tryEmitError(new IllegalStateException("the caller does not read"));
+        }
+        start(AnswerWriter.status(answer));
+    }
+
+    private boolean emit(String name, byte[] json) {
+        byte[] event = EventStreamWriter.event(name, json);
+        return events.tryEmitNext(bodies.readBufferFactory().adapt(event)).isSuccess();
+    }
+
+    private void start(int status) {
+        if (!response.isDone()) {
+            response.complete(
+                    HttpResponse.status(status, "")
+                            .contentType(MediaType.TEXT_EVENT_STREAM_TYPE)
+                            .body(bodies.adapt(events.asFlux())));
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/caller/CallerConnection.java
@@ -0,0 +1,41 @@
+package org.sequoiaspindle.daemon.transport.caller;
+
+import io.micronaut.http.ServerHttpRequest;
+import io.micronaut.http.server.netty.NettyHttpRequest;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/** Tells during one request whether the caller's connection is still open. */
+final class CallerConnection {
+
+    private final Channel channel;
+    private final AtomicBoolean gone = new AtomicBoolean();
+    private final ChannelFutureListener listener = closed -> gone.set(true);
+
+    private CallerConnection(Channel channel) {
+        this.channel = channel;
+    }
+
+    /** Watches the connection of a request until {@link #release} is called. */
+    static CallerConnection of(ServerHttpRequest<?> request) {
+        Channel channel = ((NettyHttpRequest<?>) request).getChannelHandlerContext().channel();
+        CallerConnection connection = new CallerConnection(channel);
+        channel.closeFuture().addListener(connection.listener);
+        return connection;
+    }
+
+    boolean isOpen() {
+        return !gone.get();
+    }
+
+    void close() {
+        gone.set(true);
+        channel.close();
+    }
+
+    /** Stops watching; a connection may carry many requests. */
+    void release() {
+        channel.closeFuture().removeListener(listener);
+    }
+}
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/HttpEndpointCaller.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/HttpEndpointCaller.java
@@ -73,6 +73,11 @@
         idle.closeAll();
     }
 
+    /** Number of open connections without a call to an address. */
+    int idleConnections(String address) {
+        return idle.count(address);
+    }
+
     private void send(EndpointAttempt attempt, FullHttpRequest request) {
         Option<Channel> pooled = idle.take(attempt.call().address());
         if (pooled.isEmpty()) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/IdleConnections.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/IdleConnections.java
@@ -46,6 +46,11 @@
                 && idle.getAndUpdate(channels -> channels.remove(channel)).contains(channel);
     }
 
+    int count(String address) {
+        AtomicReference<List<Channel>> idle = byAddress.get(address);
+        return idle == null ? 0 : idle.get().size();
+    }
+
     /** Closes every connection. */
     void closeAll() {
         byAddress.values().forEach(idle -> idle.getAndSet(List.empty()).forEach(Channel::close));
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/store/PlatformClient.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/store/PlatformClient.java
@@ -13,7 +13,9 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.function.Consumer;
 import reactor.core.publisher.Mono;
+import reactor.util.context.Context;
 
 /**
  * HTTP exchanges with the platform. Each time limit has a client of its own because Micronaut's
@@ -23,6 +25,14 @@
 final class PlatformClient implements AutoCloseable {
 
     private static final int CONNECT_TIMEOUT_MS = 500;
+
+    /** Lets the limit on silence, which closes the connection, fire before the total one. */
+    private static final long TOTAL_GRACE_MS = 100;
+
+    /** A connection that fails after its exchange was given up is no news. */
+    private static final Context IGNORE_LATE_ERRORS =
+            Context.of("reactor.onErrorDropped.local", (Consumer<Throwable>) e -> {});
+
     private static final int MAX_ANSWER_BYTES = 4 * 1024 * 1024;
 
     private final URL base;
@@ -47,10 +57,11 @@
         return Mono.from(
                         client.exchange(
                                 request, Argument.of(byte[].class), Argument.of(byte[].class)))
-                .timeout(Duration.ofMillis(limitMillis))
+                .timeout(Duration.ofMillis(limitMillis + TOTAL_GRACE_MS))
                 .map(Either::<String, HttpResponse<byte[]>>right)
                 .onErrorResume(e -> Mono.just(Either.left(String.valueOf(e.getMessage()))))
                 .switchIfEmpty(Mono.just(Either.left("no answer")))
+                .contextWrite(IGNORE_LATE_ERRORS)
                 .toFuture();
     }
 
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/endpoint/HttpEndpointCallerTest.java
@@ -0,0 +1,291 @@
+package org.sequoiaspindle.daemon.transport.endpoint;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.vavr.control.Option;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.protocol.endpoint.CallResult;
+import org.sequoiaspindle.core.protocol.endpoint.EndpointCall;
+import org.sequoiaspindle.core.protocol.endpoint.EndpointExchange;
+import org.sequoiaspindle.core.protocol.endpoint.LoadReport;
+import org.sequoiaspindle.core.protocol.endpoint.Token;
+import org.sequoiaspindle.core.protocol.endpoint.TokenSink;
+import org.sequoiaspindle.core.state.RequestId;
+import org.sequoiaspindle.core.state.SizeClass;
+import org.sequoiaspindle.daemon.state.EndpointLimits;
+import org.sequoiaspindle.daemon.transport.ScriptedServer;
+
+/** Guards the proof behind each verdict and the closing of connections that are given up. */
+final class HttpEndpointCallerTest {
+
+    private static final String STREAM_HEAD =
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                    + "Transfer-Encoding: chunked\r\n\r\n";
+    private static final String JSON_ANSWER =
+            "{\"requestId\":\"r1\",\"attempt\":2,\"output\":\"o\",\"leaving\":false,"
+                    + "\"load\":{\"running\":1,\"queued\":2,\"slots\":3}}";
+    private static final EndpointLimits GENEROUS = new EndpointLimits(20_000, 20_000);
+    private static final EventLoopGroup LOOPS =
+            new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+
+    @AfterAll
+    static void stopLoops() {
+        LOOPS.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void connectErrorIsNotSent() {
+        assertInstanceOf(
+                CallResult.NotSent.class,
+                result(GENEROUS, ScriptedServer.closedAddress(), false, TokenSink.DISCARD));
+    }
+
+    @Test
+    void malformedAddressIsNotSent() {
+        assertInstanceOf(
+                CallResult.NotSent.class, result(GENEROUS, "no address", false, TokenSink.DISCARD));
+    }
+
+    @Test
+    void connectionClosedAfterTheRequestWasWrittenIsUnknown() {
+        assertInstanceOf(
+                CallResult.Unknown.class, played(false, ScriptedServer.Connection::readRequest));
+    }
+
+    @Test
+    void wholeAnswerIsCompletedWithItsLoadReport() {
+        CallResult result =
+                played(
+                        false,
+                        connection -> {
+                            connection.readRequest();
+                            connection.answer(
+                                    "200 OK\r\nContent-Type: application/json", JSON_ANSWER);
+                        });
+        assertEquals(
+                new CallResult.Completed(
+                        new RequestId("r1"), 2, "o", 0, Option.of(new LoadReport(1, 2, 3, false))),
+                result);
+    }
+
+    @Test
+    void refusalBeforeExecutionIsRefused() {
+        assertInstanceOf(
+                CallResult.Refused.class, answered("503 Busy\r\nSequoia-Not-Run: true", "{}"));
+    }
+
+    @Test
+    void errorStatusWithoutRefusalIsFailedEvenWithAMalformedBody() {
+        assertInstanceOf(CallResult.Failed.class, answered("503 Busy", "{"));
+        assertInstanceOf(CallResult.Failed.class, answered("400 Bad", ""));
+    }
+
+    @Test
+    void malformedAnswersAreUnknown() {
+        assertInstanceOf(CallResult.Unknown.class, answered("200 OK", "{\"output\":"));
+        assertInstanceOf(CallResult.Unknown.class, answered("302 Found", ""));
+        assertInstanceOf(
+                CallResult.Unknown.class,
+                played(
+                        false,
+                        connection -> {
+                            connection.readRequest();
+                            connection.write("no HTTP at all\r\n\r\n");
+                        }));
+    }
+
+    @Test
+    void streamedTokensArriveInOrderAndTheConnectionIsUsedAgain() throws Exception {
+        ConcurrentLinkedQueue<Token> tokens = new ConcurrentLinkedQueue<>();
+        try (ScriptedServer server = new ScriptedServer(HttpEndpointCallerTest::streamForever);
+                HttpEndpointCaller caller = new HttpEndpointCaller(LOOPS, GENEROUS)) {
+            for (int i = 0; i < 3; i++) {
+                EndpointCall call = call(server.address(), true);
+                CallResult result = await(caller.call(call, tokens::add).result());
+                assertEquals(2, assertInstanceOf(CallResult.Completed.class, result).tokens());
+                awaitIdle(caller, server.address());
+            }
+            assertEquals(1, server.connections());
+        }
+        assertEquals(6, tokens.size());
+        assertEquals(new Token(0, "a"), tokens.peek());
+    }
+
+    @Test
+    void pooledConnectionThatFailsUnderACallIsUnknown() throws Exception {
+        try (ScriptedServer server =
+                        new ScriptedServer(
+                                connection -> {
+                                    connection.readRequest();
+                                    connection.answer("200 OK", JSON_ANSWER);
+                                    connection.readRequest();
+                                });
+                HttpEndpointCaller caller = new HttpEndpointCaller(LOOPS, GENEROUS)) {
+            EndpointCall call = call(server.address(), false);
+            await(caller.call(call, TokenSink.DISCARD).result());
+            awaitIdle(caller, server.address());
+            assertInstanceOf(
+                    CallResult.Unknown.class, await(caller.call(call, TokenSink.DISCARD).result()));
+            assertEquals(1, server.connections());
+        }
+    }
+
+    @Test
+    void silentEndpointIsUnknownAndItsConnectionIsClosed() {
+        assertClosedByCaller(new EndpointLimits(50, 20_000), TokenSink.DISCARD, "");
+    }
+
+    @Test
+    void stalledStreamIsUnknownAndItsConnectionIsClosed() {
+        assertClosedByCaller(
+                new EndpointLimits(20_000, 50), TokenSink.DISCARD, STREAM_HEAD + chunk(token(0)));
+    }
+
+    @Test
+    void sinkThatGivesUpClosesTheConnection() {
+        assertClosedByCaller(GENEROUS, token -> false, STREAM_HEAD + chunk(token(0)));
+    }
+
+    @Test
+    void oversizedEventClosesTheConnection() {
+        assertClosedByCaller(
+                GENEROUS, TokenSink.DISCARD, STREAM_HEAD + chunk("data: " + "x".repeat(70_000)));
+    }
+
+    @Test
+    void oversizedBodyClosesTheConnection() {
+        assertClosedByCaller(
+                GENEROUS,
+                TokenSink.DISCARD,
+                "HTTP/1.1 500 Error\r\nContent-Length: 9000000\r\n\r\n" + "x".repeat(5_000_000));
+    }
+
+    @Test
+    void cancelledCallIsUnknownAndItsConnectionIsClosed() throws Exception {
+        CompletableFuture<String> received = new CompletableFuture<>();
+        CompletableFuture<String> afterwards = new CompletableFuture<>();
+        try (ScriptedServer server =
+                        new ScriptedServer(
+                                connection -> {
+                                    received.complete(connection.readRequest());
+                                    afterwards.complete(connection.readRequest());
+                                });
+                HttpEndpointCaller caller = new HttpEndpointCaller(LOOPS, GENEROUS)) {
+            EndpointExchange exchange =
+                    caller.call(call(server.address(), true), TokenSink.DISCARD);
+            assertTrue(await(received).contains("Sequoia-Request-Id: r1"));
+            exchange.cancel();
+            assertInstanceOf(CallResult.Unknown.class, await(exchange.result()));
+            assertEquals("", await(afterwards));
+        }
+    }
+
+    private static void assertClosedByCaller(EndpointLimits limits, TokenSink sink, String answer) {
+        CompletableFuture<String> afterwards = new CompletableFuture<>();
+        try (ScriptedServer server =
+                new ScriptedServer(
+                        connection -> {
+                            connection.readRequest();
+                            try {
+                                connection.write(answer);
+                                afterwards.complete(connection.readRequest());
+                            } catch (java.io.IOException e) {
+                                afterwards.complete("");
+                            }
+                        })) {
+            CallResult result = result(limits, server.address(), true, sink);
+            assertTrue(
+                    result instanceof CallResult.Unknown || result instanceof CallResult.Failed,
+                    result::toString);
+            assertEquals("", await(afterwards));
+        }
+    }
+
+    private static void streamForever(ScriptedServer.Connection connection)
+            throws java.io.IOException {
+        while (!connection.readRequest().isEmpty()) {
+            connection.write(STREAM_HEAD + chunk(token(0)) + chunk(token(1)));
+            connection.write(
+                    chunk("event: end\ndata: {\"tokens\":2,\"requestId\":\"r1\",\"attempt\":2}\n\n")
+                            + "0\r\n\r\n");
+        }
+    }
+
+    private static String token(int position) {
+        String text = position == 0 ? "a" : "b";
+        return "event: token\ndata: {\"position\":" + position + ",\"text\":\"" + text + "\"}\n\n";
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private static CallResult answered(String statusAndHeaders, String body) {
+        return played(
+                false,
+                connection -> {
+                    connection.readRequest();
+                    connection.answer(statusAndHeaders, body);
+                });
+    }
+
+    private static CallResult played(boolean streams, ScriptedServer.Script script) {
+        try (ScriptedServer server = new ScriptedServer(script)) {
+            return result(GENEROUS, server.address(), streams, TokenSink.DISCARD);
+        }
+    }
+
+    private static CallResult result(
+            EndpointLimits limits, String address, boolean streams, TokenSink sink) {
+        try (HttpEndpointCaller caller = new HttpEndpointCaller(LOOPS, limits)) {
+            return await(caller.call(call(address, streams), sink).result());
+        }
+    }
+
+    private static EndpointCall call(String address, boolean streams) {
+        return new EndpointCall(
+                new RequestId("r1"),
+                "acme",
+                "generate",
+                2,
+                "e1",
+                address,
+                "input",
+                10,
+                0,
+                "",
+                SizeClass.SHORT,
+                streams,
+                5000,
+                "");
+    }
+
+    /** The result comes before the last chunk, after which the connection is idle. */
+    private static void awaitIdle(HttpEndpointCaller caller, String address) throws Exception {
+        CompletableFuture<Void> idle = new CompletableFuture<>();
+        LOOPS.scheduleAtFixedRate(
+                () -> {
+                    if (caller.idleConnections(address) == 1) {
+                        idle.complete(null);
+                    }
+                },
+                0,
+                1,
+                TimeUnit.MILLISECONDS);
+        await(idle);
+    }
+
+    private static <T> T await(CompletionStage<T> stage) {
+        return stage.toCompletableFuture().orTimeout(30, TimeUnit.SECONDS).join();
+    }
+}
