Run keyed requests under claims

Cause: a keyed request must run at most once across instances, and repeats must get the recorded outcome. Change: KeyedRuns joins the claim keeper to the request runner; a timer on an executor.

--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/common/ExecutorTimer.java
@@ -0,0 +1,45 @@
+package org.sequoiaspindle.core.common;
+
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+
+/** Timer on a pool of threads. A task that throws reaches the uncaught-exception handler. */
+public final class ExecutorTimer implements Timer, AutoCloseable {
+
+    private final ScheduledThreadPoolExecutor executor;
+
+    public ExecutorTimer(int threads, String threadName) {
+        executor =
+                new ScheduledThreadPoolExecutor(
+                        threads,
+                        work -> {
+                            Thread thread = new Thread(work, threadName);
+                            thread.setDaemon(true);
+                            return thread;
+                        });
+        executor.setRemoveOnCancelPolicy(true);
+    }
+
+    @Override
+    public Runnable schedule(long delayMillis, Runnable task) {
+        ScheduledFuture<?> scheduled =
+                executor.schedule(
+                        () -> guarded(task), Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
+        return () -> scheduled.cancel(false);
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+
+    private static void guarded(Runnable task) {
+        try {
+            task.run();
+        } catch (RuntimeException | Error e) {
+            Thread thread = Thread.currentThread();
+            thread.getUncaughtExceptionHandler().uncaughtException(thread, e);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/claim/KeyedRuns.java
@@ -0,0 +1,134 @@
+package org.sequoiaspindle.core.protocol.claim;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Supplier;
+import org.sequoiaspindle.core.coordination.claim.RecordedOutcome;
+import org.sequoiaspindle.core.protocol.publication.Sha256;
+import org.sequoiaspindle.core.protocol.request.Answer;
+import org.sequoiaspindle.core.protocol.request.ClaimGate;
+import org.sequoiaspindle.core.protocol.request.Reason;
+import org.sequoiaspindle.core.protocol.request.RequestPlan;
+import org.sequoiaspindle.core.protocol.store.Scheduler;
+import org.sequoiaspindle.core.state.Outcome;
+
+/**
+ * Runs a request with a call that must not be repeated only under a claim of its idempotency key,
+ * and answers repeats with the recorded outcome.
+ */
+public final class KeyedRuns implements ClaimGate {
+
+    /** An answer waits at most this long for its outcome to be recorded, in milliseconds. */
+    private static final long RECORDING_LIMIT_MS = 200;
+
+    private final ClaimKeeper keeper;
+    private final Scheduler scheduler;
+
+    public KeyedRuns(ClaimKeeper keeper, Scheduler scheduler) {
+        this.keeper = keeper;
+        this.scheduler = scheduler;
+    }
+
+    @Override
+    public CompletionStage<Answer> guard(RequestPlan plan, Supplier<CompletionStage<Answer>> run) {
+        Option<String> key = plan.claimKey();
+        if (key.isEmpty()) {
+            return run.get();
+        }
+        return keeper.claim(plan.organisation().name(), key.get(), digest(plan))
+                .thenCompose(
+                        result ->
+                                result instanceof ClaimResult.Granted granted
+                                        ? runClaimed(plan, granted.handle(), run)
+                                        : CompletableFuture.completedStage(answer(plan, result)));
+    }
+
+    private CompletionStage<Answer> runClaimed(
+            RequestPlan plan, ClaimHandle handle, Supplier<CompletionStage<Answer>> run) {
+        return run.get()
+                .thenCompose(
+                        answer ->
+                                scheduler.limit(
+                                        settle(plan, handle, answer).thenApply(done -> answer),
+                                        RECORDING_LIMIT_MS,
+                                        () -> answer));
+    }
+
+    private CompletionStage<Boolean> settle(RequestPlan plan, ClaimHandle handle, Answer answer) {
+        if (mayBeRepeated(plan, answer)) {
+            return keeper.release(handle);
+        }
+        return keeper.finish(
+                handle,
+                RecordedOutcome.of(answer.outcome(), answer.output(), answer.reason().name()));
+    }
+
+    /** Whether the call that must not be repeated provably did not run. */
+    private static boolean mayBeRepeated(RequestPlan plan, Answer answer) {
+        if (answer.outcome() == Outcome.NOT_RUN) {
+            return true;
+        }
+        if (answer.outcome() == Outcome.ANSWERED || answer.outcome() == Outcome.UNKNOWN) {
+            return false;
+        }
+        Vector<String> once =
+                plan.stages()
+                        .map(RequestPlan.PlannedStage::stage)
+                        .filter(stage -> !stage.idempotent())
+                        .map(stage -> stage.name());
+        return answer.stages()
+                .filter(report -> once.contains(report.stage()))
+                .forAll(report -> report.provablyNotRun());
+    }
+
+    private static Answer answer(RequestPlan plan, ClaimResult result) {
+        if (result instanceof ClaimResult.Replay replay) {
+            return replayed(plan, replay.outcome());
+        }
+        if (result instanceof ClaimResult.InUse) {
+            return unknown(plan, "a request with this key is in progress or was interrupted");
+        }
+        if (result instanceof ClaimResult.Expired) {
+            return unknown(plan, "the key is too old; an earlier use of it may have run");
+        }
+        if (result instanceof ClaimResult.Malformed) {
+            return notRun(
+                    plan,
+                    Reason.MALFORMED,
+                    "the key must be <issue time, Unix ms>-<random> and not lie in the future");
+        }
+        if (result instanceof ClaimResult.DigestMismatch) {
+            return notRun(plan, Reason.MALFORMED, "the key was used for a different request");
+        }
+        return notRun(plan, Reason.STORE_UNAVAILABLE, "the key could not be claimed");
+    }
+
+    private static Answer replayed(RequestPlan plan, RecordedOutcome recorded) {
+        if (!recorded.whole()) {
+            return unknown(plan, "the request ran, but its answer was too long to be kept");
+        }
+        Reason reason =
+                recorded.reason().isEmpty() ? Reason.NONE : Reason.valueOf(recorded.reason());
+        return answer(plan, recorded.outcome(), reason, "recorded outcome", recorded.answer());
+    }
+
+    private static Answer unknown(RequestPlan plan, String detail) {
+        return answer(plan, Outcome.UNKNOWN, Reason.KEY_IN_USE, detail, "");
+    }
+
+    private static Answer notRun(RequestPlan plan, Reason reason, String detail) {
+        return answer(plan, Outcome.NOT_RUN, reason, detail, "");
+    }
+
+    private static Answer answer(
+            RequestPlan plan, Outcome outcome, Reason reason, String detail, String output) {
+        return new Answer(
+                plan.id(), outcome, reason, detail, output, plan.generation(), Vector.empty());
+    }
+
+    private static String digest(RequestPlan plan) {
+        return Sha256.of(plan.pipeline().name() + "\n" + plan.maxTokens() + "\n" + plan.input());
+    }
+}
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/request/StageReport.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/StageReport.java
@@ -1,5 +1,7 @@
 package org.sequoiaspindle.core.protocol.request;
 
+import org.sequoiaspindle.core.protocol.endpoint.CallResult;
+
 /**
  * One attempt of a stage, as shown to the caller and in traces.
  *
@@ -16,4 +18,11 @@
         int attempt,
         String result,
         long waitMillis,
-        long serviceMillis) {}
+        long serviceMillis) {
+
+    /** Whether it is proved that the endpoint did not execute the attempt. */
+    public boolean provablyNotRun() {
+        return result.equals(CallResult.NotSent.class.getSimpleName())
+                || result.equals(CallResult.Refused.class.getSimpleName());
+    }
+}
