Have refused stages run in another data centre

Cause: a data centre without a usable endpoint, or without time, refused requests that another data centre could serve.

--- a/core/src/main/java/org/sequoiaspindle/core/protocol/endpoint/EndpointCall.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/endpoint/EndpointCall.java
@@ -35,4 +35,24 @@
         SizeClass sizeClass,
         boolean streams,
         long remainingMillis,
-        String traceParent) {}
+        String traceParent) {
+
+    /** The same call to another endpoint. */
+    public EndpointCall at(String otherEndpoint, String otherAddress) {
+        return new EndpointCall(
+                requestId,
+                organisation,
+                stage,
+                attempt,
+                otherEndpoint,
+                otherAddress,
+                input,
+                maxTokens,
+                resumeFrom,
+                resumeText,
+                sizeClass,
+                streams,
+                remainingMillis,
+                traceParent);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/ForwardedCalls.java
@@ -0,0 +1,137 @@
+package org.sequoiaspindle.core.protocol.request;
+
+import io.vavr.collection.HashSet;
+import io.vavr.control.Option;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicReference;
+import org.sequoiaspindle.core.common.Invariants;
+import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.coordination.routing.CallProfile;
+import org.sequoiaspindle.core.coordination.routing.GroupScheduler;
+import org.sequoiaspindle.core.coordination.routing.GroupScheduler.Submission;
+import org.sequoiaspindle.core.coordination.routing.Groups;
+import org.sequoiaspindle.core.coordination.routing.Placement;
+import org.sequoiaspindle.core.coordination.routing.Placement.Assigned;
+import org.sequoiaspindle.core.coordination.routing.Placement.Refused;
+import org.sequoiaspindle.core.protocol.endpoint.CallResult;
+import org.sequoiaspindle.core.protocol.endpoint.EndpointCall;
+import org.sequoiaspindle.core.protocol.endpoint.EndpointCaller;
+import org.sequoiaspindle.core.protocol.endpoint.EndpointExchange;
+import org.sequoiaspindle.core.protocol.endpoint.TokenSink;
+import org.sequoiaspindle.core.state.Deadline;
+import org.sequoiaspindle.core.state.SnapshotHolder;
+import org.sequoiaspindle.core.state.Stage;
+
+/**
+ * Runs stages that an instance of another data centre has forwarded, on endpoints of this one. Each
+ * is tried once; the forwarding instance decides on further attempts. Thread-safe.
+ */
+public final class ForwardedCalls implements EndpointCaller {
+
+    private final SnapshotHolder snapshots;
+    private final Groups groups;
+    private final EndpointCaller endpoints;
+    private final MillisClock clock;
+
+    public ForwardedCalls(
+            SnapshotHolder snapshots, Groups groups, EndpointCaller endpoints, MillisClock clock) {
+        this.snapshots = snapshots;
+        this.groups = groups;
+        this.endpoints = endpoints;
+        this.clock = clock;
+    }
+
+    @Override
+    public EndpointExchange call(EndpointCall call, TokenSink sink) {
+        Option<Stage> stage = snapshots.current().stage(call.stage());
+        if (stage.isEmpty()) {
+            CallResult refused =
+                    new CallResult.Refused("no stage named " + call.stage(), Option.none());
+            return new EndpointExchange(CompletableFuture.completedStage(refused), () -> {});
+        }
+        GroupScheduler group = groups.group(call.endpoint());
+        CallProfile profile = profile(call, stage.get());
+        Submission submission = group.submit(profile);
+        AtomicReference<Runnable> cancellation = new AtomicReference<>(submission.withdrawal());
+        CompletableFuture<CallResult> result = new CompletableFuture<>();
+        Invariants.watch(
+                submission
+                        .decision()
+                        .thenAccept(
+                                placement ->
+                                        placed(
+                                                placement,
+                                                new Forwarded(
+                                                        call,
+                                                        sink,
+                                                        group,
+                                                        submission.ticket(),
+                                                        profile.size(),
+                                                        cancellation,
+                                                        result))));
+        return new EndpointExchange(result, () -> cancellation.get().run());
+    }
+
+    /** A forwarded call on its way through this instance. */
+    private record Forwarded(
+            EndpointCall call,
+            TokenSink sink,
+            GroupScheduler group,
+            long ticket,
+            long size,
+            AtomicReference<Runnable> cancellation,
+            CompletableFuture<CallResult> result) {}
+
+    private void placed(Placement placement, Forwarded forwarded) {
+        if (placement instanceof Refused refused) {
+            forwarded
+                    .result()
+                    .complete(new CallResult.Refused(refused.cause().name(), Option.none()));
+            return;
+        }
+        Assigned assigned = (Assigned) placement;
+        long sentAt = clock.now();
+        EndpointExchange exchange =
+                endpoints.call(
+                        forwarded.call().at(assigned.endpoint(), assigned.address()),
+                        forwarded.sink());
+        forwarded.cancellation().set(exchange::cancel);
+        Invariants.watch(
+                exchange.result()
+                        .thenAccept(
+                                result -> {
+                                    forwarded
+                                            .group()
+                                            .complete(
+                                                    assigned.endpoint(),
+                                                    forwarded.ticket(),
+                                                    forwarded.call().stage(),
+                                                    AttemptEnd.report(
+                                                            result,
+                                                            false,
+                                                            clock.now() - sentAt,
+                                                            forwarded.size()));
+                                    forwarded.result().complete(result);
+                                }));
+    }
+
+    private CallProfile profile(EndpointCall call, Stage stage) {
+        long size = Profiles.size(stage, call.input(), call.maxTokens());
+        return new CallProfile(
+                call.organisation(),
+                snapshots
+                        .current()
+                        .organisation(call.organisation())
+                        .map(organisation -> organisation.weight())
+                        .getOrElse(1),
+                call.stage(),
+                stage.idempotent(),
+                call.sizeClass(),
+                size,
+                stage.expectedMs(),
+                0,
+                Deadline.after(clock.now(), call.remainingMillis()),
+                Profiles.affinity(call.input()),
+                HashSet.empty());
+    }
+}
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/request/Profiles.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/Profiles.java
@@ -49,7 +49,7 @@
     }
 
     private static CallProfile profile(RequestPlan plan, Stage stage, long laterMs) {
-        long size = size(plan, stage);
+        long size = size(stage, plan.input(), plan.maxTokens());
         return new CallProfile(
                 plan.organisation().name(),
                 plan.organisation().weight(),
@@ -65,13 +65,12 @@
     }
 
     /** Tokens to generate for a streaming stage, tokens to read for another one. */
-    private static long size(RequestPlan plan, Stage stage) {
-        return stage.streams()
-                ? plan.maxTokens()
-                : Math.max(1, plan.input().length() / CHARACTERS_PER_TOKEN);
+    static long size(Stage stage, String input, int maxTokens) {
+        return stage.streams() ? maxTokens : Math.max(1, input.length() / CHARACTERS_PER_TOKEN);
     }
 
-    private static long affinity(String input) {
+    /** Hash of the prompt prefix. */
+    static long affinity(String input) {
         String prefix = input.substring(0, Math.min(PREFIX_CHARACTERS, input.length()));
         return Hashing.komihash5_0().hashCharsToLong(prefix);
     }
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/request/RequestServices.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/RequestServices.java
@@ -16,6 +16,7 @@
  *
  * @param groups schedulers of the endpoint groups
  * @param endpoints sends calls to endpoints
+ * @param spillover where stages go that this data centre refuses
  * @param retryRule decides on further attempts
  * @param hedgeRule decides when a second attempt runs beside a slow first one
  * @param budget bounds extra attempts
@@ -29,6 +30,7 @@
 public record RequestServices(
         Groups groups,
         EndpointCaller endpoints,
+        Spillover spillover,
         RetryRule retryRule,
         HedgeRule hedgeRule,
         RetryBudget budget,
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/request/StageRun.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/StageRun.java
@@ -15,9 +15,11 @@
 import org.sequoiaspindle.core.coordination.routing.GroupScheduler.Submission;
 import org.sequoiaspindle.core.coordination.routing.Placement;
 import org.sequoiaspindle.core.coordination.routing.Placement.Assigned;
+import org.sequoiaspindle.core.coordination.routing.Placement.RefusalCause;
 import org.sequoiaspindle.core.coordination.routing.Placement.Refused;
 import org.sequoiaspindle.core.protocol.endpoint.CallResult;
 import org.sequoiaspindle.core.protocol.endpoint.EndpointCall;
+import org.sequoiaspindle.core.protocol.endpoint.EndpointCaller;
 import org.sequoiaspindle.core.protocol.endpoint.EndpointExchange;
 import org.sequoiaspindle.core.protocol.endpoint.Token;
 import org.sequoiaspindle.core.protocol.endpoint.TokenSink;
@@ -30,6 +32,9 @@
  */
 final class StageRun {
 
+    /** Stands for calls that take no slot of this data centre. */
+    private static final long NO_TICKET = 0;
+
     private final RequestServices services;
     private final StageCall stage;
     private final TokenSink sink;
@@ -81,18 +86,37 @@
     private void placed(
             int number, CallProfile profile, long ticket, long submittedAt, Placement placement) {
         if (placement instanceof Refused refused) {
-            cancellations.remove(number);
-            if (!state.updateAndGet(held -> held.endAttempt(number)).anyActive()) {
-                finish(StageFailures.refused(refused.cause(), state.get(), stage.idempotent()));
-            }
+            refused(number, profile, submittedAt, refused.cause());
             return;
         }
         Assigned assigned = (Assigned) placement;
-        if (!state.updateAndGet(held -> held.startCall(number)).calls().contains(number)) {
+        if (!startCall(number)) {
             release(assigned, ticket);
             return;
         }
-        send(new Sent(number, profile, ticket, assigned, submittedAt, now()));
+        send(services.endpoints(), new Sent(number, profile, ticket, assigned, submittedAt, now()));
+    }
+
+    /** Has the stage run in another data centre if possible, else ends the attempt. */
+    private void refused(int number, CallProfile profile, long submittedAt, RefusalCause cause) {
+        Option<String> peer =
+                cause == RefusalCause.WITHDRAWN
+                        ? Option.none()
+                        : services.spillover().targets().target(stage.planned().group(), cause);
+        if (peer.isDefined() && startCall(number)) {
+            Assigned remote = new Assigned(stage.planned().group(), peer.get());
+            Sent sent = new Sent(number, profile, NO_TICKET, remote, submittedAt, now());
+            send(services.spillover().forwarder(), sent);
+            return;
+        }
+        cancellations.remove(number);
+        if (!state.updateAndGet(held -> held.endAttempt(number)).anyActive()) {
+            finish(StageFailures.refused(cause, state.get(), stage.idempotent()));
+        }
+    }
+
+    private boolean startCall(int number) {
+        return state.updateAndGet(held -> held.startCall(number)).calls().contains(number);
     }
 
     private void release(Assigned assigned, long ticket) {
@@ -100,7 +124,7 @@
         group.complete(assigned.endpoint(), ticket, stage.planned().stage().name(), unused);
     }
 
-    private void send(Sent sent) {
+    private void send(EndpointCaller caller, Sent sent) {
         HopTracer.Hop hop =
                 services.tracer()
                         .start(
@@ -114,7 +138,7 @@
         EndpointCall call = call(sent, hop.traceParent());
         StreamAssembler stream =
                 new StreamAssembler(state.get().progress(), token -> passOn(sent.number(), token));
-        EndpointExchange exchange = services.endpoints().call(call, stream);
+        EndpointExchange exchange = caller.call(call, stream);
         cancellable(sent.number(), exchange::cancel);
         scheduleHedge(sent);
         Invariants.watch(
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/request/RequestRunnerTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/request/RequestRunnerTest.java
@@ -111,6 +111,7 @@
                     new RequestServices(
                             groups,
                             endpoints,
+                            Spillover.NONE,
                             RetryRule.SAFE,
                             HedgeRule.beyondExpectation(1, 20),
                             new RetryBudget(0.1),
