--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/publication/NaiveFollower.java
@@ -0,0 +1,70 @@
+package org.sequoiaspindle.core.protocol.publication;
+
+import io.vavr.collection.Map;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.concurrent.atomic.AtomicReference;
+import org.sequoiaspindle.core.protocol.publication.FollowerSwarm.Member;
+import org.sequoiaspindle.core.protocol.store.Scheduler;
+import org.sequoiaspindle.core.protocol.store.Store;
+import org.sequoiaspindle.core.protocol.store.StoreCommand;
+import org.sequoiaspindle.core.protocol.store.StoreResult;
+import org.sequoiaspindle.core.state.ObjectSet;
+
+/** Takes over whatever it hears last. */
+final class NaiveFollower implements HeadReceiver {
+    private final Store store;
+    private final Scheduler scheduler;
+    private final ObjectSetFunctions functions;
+    private final AtomicReference<HeldConfiguration> held =
+            new AtomicReference<>(HeldConfiguration.none());
+
+    NaiveFollower(Store store, Scheduler scheduler, ObjectSetFunctions functions) {
+        this.store = store;
+        this.scheduler = scheduler;
+        this.functions = functions;
+    }
+
+    Member member() {
+        return new Member(
+                this,
+                () -> held.get().head().map(Head::generation).getOrElse(0L),
+                this::objects,
+                held::get);
+    }
+
+    void poll() {
+        store.execute(new StoreCommand.Read(ConfigurationKeys.HEAD))
+                .thenAccept(
+                        result -> {
+                            if (result instanceof StoreResult.Found found) {
+                                HeadReader.read(found.value().text())
+                                        .forEach(
+                                                head ->
+                                                        offer(
+                                                                head,
+                                                                new StorePartSource(
+                                                                        store, scheduler)));
+                            }
+                            scheduler.schedule(1_000, this::poll);
+                        });
+    }
+
+    @Override
+    public void offer(Head head, PartSource source) {
+        source.fetch(head.parts().map(Head.PartReference::digest))
+                .thenAccept(fetched -> fetched.forEach(parts -> adopt(head, parts)));
+    }
+
+    private void adopt(Head head, Map<String, String> parts) {
+        if (parts.size() == head.parts().size()
+                && parts.values().forAll(text -> functions.reader().apply(text).isRight())) {
+            held.set(new HeldConfiguration(Option.some(head), parts));
+        }
+    }
+
+    private ObjectSet objects() {
+        return ConfigurationParts.join(
+                held.get().parts().values().map(functions.reader()).map(Either::get).toVector());
+    }
+}
