Tighten the tests of slow and absent callers

Cause: the bound on unread tokens was loose and nothing showed that a token leaves before the end of its stream. Change: bound of 1024 tokens plus socket buffers; the client reads the first token first.

--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/caller/CallerControllerTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/caller/CallerControllerTest.java
@@ -35,6 +35,9 @@
 /** Guards callers against wrong statuses and the instance against hostile or absent callers. */
 final class CallerControllerTest {
 
+    /** The stream's buffer and, in tokens of 1 kB, what the socket buffers of Linux can take. */
+    private static final int MAX_UNREAD_TOKENS = 1024 + 16_000;
+
     private static final AtomicReference<RequestHandler> HANDLER = new AtomicReference<>();
     private static final HttpFrontEnd SERVER = HttpFrontEnd.create("127.0.0.1", 0);
     private static final HttpClient CLIENT = HttpClient.newHttpClient();
@@ -159,13 +162,14 @@
                     return accepted.thenApply(count -> answer(Outcome.FAILED, Reason.CALLER_GONE));
                 });
         try (Socket socket = openStream()) {
-            assertTrue(accepted.get(60, TimeUnit.SECONDS) < 1_000_000);
+            int count = accepted.get(60, TimeUnit.SECONDS);
+            assertTrue(count < MAX_UNREAD_TOKENS, count + " tokens of 1 kB were accepted");
             assertTrue(reachesEnd(socket));
         }
     }
 
     @Test
-    void disconnectedCallerIsNoticedByTheSink() throws Exception {
+    void tokenIsSentBeforeTheEndAndADisconnectedCallerIsNoticed() throws Exception {
         CompletableFuture<TokenSink> started = new CompletableFuture<>();
         CompletableFuture<Answer> end = new CompletableFuture<>();
         HANDLER.set(
@@ -175,6 +179,7 @@
                 });
         try (Socket socket = openStream()) {
             assertTrue(started.get(30, TimeUnit.SECONDS).accept(new Token(0, "a")));
+            awaitText(socket, "\"text\":\"a\"");
         }
         long position = 1;
         while (started.join().accept(new Token(position, "b"))) {
@@ -206,6 +211,16 @@
         return socket;
     }
 
+    private static void awaitText(Socket socket, String text) throws IOException {
+        socket.setSoTimeout(30_000);
+        StringBuilder read = new StringBuilder();
+        while (read.indexOf(text) < 0) {
+            int next = socket.getInputStream().read();
+            assertTrue(next >= 0, read::toString);
+            read.append((char) next);
+        }
+    }
+
     private static boolean reachesEnd(Socket socket) {
         try {
             socket.setSoTimeout(30_000);
