--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/IpAddresses.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/IpAddresses.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport;
+package org.sequoiaspindle.daemon.protocol;
 
 import io.netty.util.NetUtil;
 import io.vavr.control.Option;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/HttpEndpointCaller.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/HttpEndpointCaller.java
@@ -24,9 +24,9 @@
 import org.sequoiaspindle.core.protocol.endpoint.EndpointExchange;
 import org.sequoiaspindle.core.protocol.endpoint.TokenSink;
 import org.sequoiaspindle.core.state.SizeClass;
+import org.sequoiaspindle.daemon.protocol.IpAddresses;
 import org.sequoiaspindle.daemon.protocol.endpoint.EndpointMessages;
 import org.sequoiaspindle.daemon.state.EndpointLimits;
-import org.sequoiaspindle.daemon.transport.IpAddresses;
 
 /**
  * Calls endpoints over HTTP/1.1 with keep-alive connections. Uses Netty's HTTP codec rather than
