--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/operator/OperatorMessages.java
@@ -0,0 +1,107 @@
+package org.sequoiaspindle.daemon.protocol.operator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.collection.Vector;
+import org.sequoiaspindle.core.coordination.configuration.Problem;
+import org.sequoiaspindle.core.protocol.peer.InstanceStatus;
+import org.sequoiaspindle.core.protocol.publication.PublishResult;
+import org.sequoiaspindle.daemon.protocol.Json;
+
+/** HTTP statuses and JSON of the conversation with operators. */
+public final class OperatorMessages {
+
+    private OperatorMessages() {}
+
+    /**
+     * An answer to an operator.
+     *
+     * @param status HTTP status
+     * @param body JSON
+     */
+    public record Reply(int status, byte[] body) {}
+
+    /** Reply to a publication. */
+    public static Reply reply(PublishResult result) {
+        if (result instanceof PublishResult.Published published) {
+            return reply(200, result("published").put("generation", published.generation()));
+        }
+        if (result instanceof PublishResult.Checked checked) {
+            return reply(200, result("checked").put("generation", checked.currentGeneration()));
+        }
+        if (result instanceof PublishResult.Invalid invalid) {
+            return invalid(invalid.problems());
+        }
+        if (result instanceof PublishResult.Conflict conflict) {
+            return reply(
+                    409,
+                    result("conflict")
+                            .put("generation", conflict.currentGeneration())
+                            .put("operator", conflict.operator())
+                            .put("submission", conflict.submissionId()));
+        }
+        if (result instanceof PublishResult.NotRun notRun) {
+            return reply(503, result("notRun").put("reason", notRun.reason()));
+        }
+        String reason = ((PublishResult.Unknown) result).reason();
+        return reply(504, result("unknown").put("reason", reason));
+    }
+
+    /** Reply to a document with problems. */
+    public static Reply invalid(Vector<Problem> problems) {
+        ObjectNode node = result("invalid");
+        ArrayNode array = node.putArray("problems");
+        problems.forEach(
+                problem ->
+                        array.addObject()
+                                .put("code", problem.code())
+                                .put("kind", problem.kind())
+                                .put("object", problem.object())
+                                .put("field", problem.field())
+                                .put("message", problem.message()));
+        return reply(422, node);
+    }
+
+    /** Reply to a request that was refused before it reached the publisher. */
+    public static Reply refused(int status, String reason) {
+        return reply(status, result("notRun").put("reason", reason));
+    }
+
+    /**
+     * The configuration in force.
+     *
+     * @param document object set as JSON text
+     */
+    public static Reply configuration(long generation, String document) {
+        JsonNode objects =
+                Json.objectIn(document)
+                        .getOrElseThrow(() -> new IllegalStateException("not a JSON object"));
+        ObjectNode node = Json.object().put("generation", generation);
+        return reply(200, node.set("objects", objects));
+    }
+
+    /** What this instance knows of the installation. */
+    public static Reply status(String instance, long generation, Vector<InstanceStatus> instances) {
+        ObjectNode node = Json.object().put("instance", instance).put("generation", generation);
+        ArrayNode array = node.putArray("instances");
+        instances.forEach(
+                status ->
+                        array.addObject()
+                                .put("instance", status.instance())
+                                .put("dataCentre", status.dataCentre())
+                                .put("address", status.address())
+                                .put("generation", status.generation())
+                                .put("serving", status.serving())
+                                .put("lastHeardMillis", status.lastHeardMillis()));
+        return reply(200, node);
+    }
+
+    private static ObjectNode result(String result) {
+        return Json.object().put("result", result);
+    }
+
+    private static Reply reply(int status, JsonNode body) {
+        return new Reply(status, Json.bytes(body));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/settings/SettingsFields.java
@@ -0,0 +1,157 @@
+package org.sequoiaspindle.daemon.protocol.settings;
+
+import io.vavr.collection.HashSet;
+import io.vavr.collection.LinkedHashMap;
+import io.vavr.collection.Map;
+import io.vavr.collection.Set;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import java.util.List;
+import java.util.function.Predicate;
+
+/**
+ * Fields of one object of the settings. Problems are collected rather than thrown, so that all are
+ * reported at once; a field at fault reads as its fallback. Used by one thread.
+ */
+final class SettingsFields {
+
+    private final String path;
+    private final int line;
+    private final Map<String, LocatedJson> fields;
+    private final List<SettingsProblem> problems;
+    private Set<String> known = HashSet.empty();
+
+    private SettingsFields(
+            String path, LocatedJson object, List<SettingsProblem> problems, String expectation) {
+        this.path = path;
+        this.line = object.line();
+        this.problems = problems;
+        this.fields = fieldsOf(object);
+        if (!(object.value() instanceof Map)) {
+            problems.add(new SettingsProblem(line, path, expectation));
+        }
+    }
+
+    static SettingsFields of(LocatedJson root, List<SettingsProblem> problems) {
+        return new SettingsFields("", root, problems, "write one JSON object");
+    }
+
+    /** Fields of a nested object; without it the fields are absent. */
+    SettingsFields object(String name) {
+        LocatedJson value = take(name).getOrElse(new LocatedJson(line, LinkedHashMap.empty()));
+        return new SettingsFields(pathOf(name), value, problems, "write an object");
+    }
+
+    boolean has(String name) {
+        return take(name).isDefined();
+    }
+
+    /** Text that must be there. */
+    String text(String name, Predicate<String> check, String expectation) {
+        return optionalText(name, check, expectation)
+                .getOrElse(
+                        () -> {
+                            if (!has(name)) {
+                                report(line, name, "is missing; " + expectation);
+                            }
+                            return "";
+                        });
+    }
+
+    Option<String> optionalText(String name, Predicate<String> check, String expectation) {
+        return take(name)
+                .flatMap(
+                        value -> {
+                            if (value.value() instanceof String text && check.test(text)) {
+                                return Option.of(text);
+                            }
+                            report(value.line(), name, expectation);
+                            return Option.none();
+                        });
+    }
+
+    Vector<String> texts(String name, Predicate<String> check, String expectation) {
+        Option<LocatedJson> array = take(name);
+        if (array.isEmpty()) {
+            return Vector.empty();
+        }
+        if (!(array.get().value() instanceof Vector<?> items)) {
+            report(array.get().line(), name, "write an array; " + expectation);
+            return Vector.empty();
+        }
+        Vector<String> texts = Vector.empty();
+        for (Object item : items) {
+            LocatedJson located = (LocatedJson) item;
+            if (located.value() instanceof String text && check.test(text)) {
+                texts = texts.append(text);
+            } else {
+                report(located.line(), name, expectation);
+            }
+        }
+        return texts;
+    }
+
+    long number(String name, long min, long max, Option<Long> fallback) {
+        Option<LocatedJson> value = take(name);
+        String expectation = "write a whole number from " + min + " to " + max;
+        if (value.isEmpty()) {
+            if (fallback.isEmpty()) {
+                report(line, name, "is missing; " + expectation);
+            }
+            return fallback.getOrElse(min);
+        }
+        if (value.get().value() instanceof Long number && number >= min && number <= max) {
+            return number;
+        }
+        report(value.get().line(), name, expectation);
+        return min;
+    }
+
+    boolean flag(String name, boolean fallback) {
+        Option<LocatedJson> value = take(name);
+        if (value.isEmpty()) {
+            return fallback;
+        }
+        if (value.get().value() instanceof Boolean flag) {
+            return flag;
+        }
+        report(value.get().line(), name, "write true or false");
+        return fallback;
+    }
+
+    void report(String name, String message) {
+        report(fields.get(name).map(LocatedJson::line).getOrElse(line), name, message);
+    }
+
+    /** Reports the fields that nothing has asked for. */
+    void reportUnknown() {
+        fields.filterKeys(name -> !known.contains(name))
+                .forEach(
+                        (name, value) ->
+                                report(
+                                        value.line(),
+                                        name,
+                                        "is not a setting; remove it or use one of "
+                                                + known.toSortedSet().mkString(", ")));
+    }
+
+    private Option<LocatedJson> take(String name) {
+        known = known.add(name);
+        return fields.get(name);
+    }
+
+    private void report(int atLine, String name, String message) {
+        problems.add(new SettingsProblem(atLine, pathOf(name), message));
+    }
+
+    private String pathOf(String name) {
+        return path.isEmpty() ? name : path + "." + name;
+    }
+
+    @SuppressWarnings("unchecked")
+    private static Map<String, LocatedJson> fieldsOf(LocatedJson object) {
+        return object.value() instanceof Map<?, ?> map
+                ? (Map<String, LocatedJson>) map
+                : LinkedHashMap.empty();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/settings/SettingsReader.java
@@ -0,0 +1,211 @@
+package org.sequoiaspindle.daemon.protocol.settings;
+
+import io.netty.util.NetUtil;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Function;
+import java.util.function.Predicate;
+import java.util.regex.Pattern;
+import org.sequoiaspindle.core.common.LogEvent;
+import org.sequoiaspindle.core.state.SecretHash;
+import org.sequoiaspindle.daemon.protocol.IpAddresses;
+import org.sequoiaspindle.daemon.state.DrainLimits;
+import org.sequoiaspindle.daemon.state.EndpointLimits;
+import org.sequoiaspindle.daemon.state.Settings;
+
+/** Reads settings from JSON with comments and reports all that is wrong with them. */
+public final class SettingsReader {
+
+    /** Shorter secrets can be guessed from one observed proof. */
+    private static final int MIN_SECRET_LENGTH = 16;
+
+    private static final int MAX_PORT = 65_535;
+    private static final long MAX_MS = 3_600_000;
+    private static final long DRAIN_GRACE_MS = 5000;
+    private static final long DRAIN_LIMIT_MS = 30_000;
+    private static final long ENDPOINT_FIRST_BYTE_MS = 10_000;
+    private static final long ENDPOINT_IDLE_MS = 5000;
+    private static final Pattern NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
+    private static final String NAME_EXPECTED =
+            "write 1 to 64 letters, digits, dots, hyphens or underscores";
+    private static final String ADDRESS_EXPECTED = "write an IP address and a port as \"ip:port\"";
+
+    private SettingsReader() {}
+
+    /**
+     * Reads settings.
+     *
+     * @param files reads the text of a file that the settings name, or says why it cannot
+     * @return the settings, or every problem in the order of the lines
+     */
+    public static Either<Vector<SettingsProblem>, Settings> read(
+            String text, Function<String, Either<String, String>> files) {
+        Either<SettingsProblem, LocatedJson> parsed = LocatedJson.parse(text);
+        if (parsed.isLeft()) {
+            return Either.left(Vector.of(parsed.getLeft()));
+        }
+        List<SettingsProblem> problems = new ArrayList<>();
+        Settings settings = settings(SettingsFields.of(parsed.get(), problems), files);
+        return problems.isEmpty()
+                ? Either.right(settings)
+                : Either.left(Vector.ofAll(problems).sortBy(SettingsProblem::line));
+    }
+
+    private static Settings settings(
+            SettingsFields root, Function<String, Either<String, String>> files) {
+        Settings settings =
+                new Settings(
+                        name(root, "instance"),
+                        name(root, "dataCentre"),
+                        http(root.object("http")),
+                        peer(root.object("peer"), files),
+                        platform(root.object("platform")),
+                        policy(root),
+                        new DrainLimits(
+                                millis(root, "drainGraceMs", 0, DRAIN_GRACE_MS),
+                                millis(root, "drainLimitMs", 0, DRAIN_LIMIT_MS)),
+                        new EndpointLimits(
+                                millis(root, "endpointFirstByteMs", 1, ENDPOINT_FIRST_BYTE_MS),
+                                millis(root, "endpointIdleMs", 1, ENDPOINT_IDLE_MS)),
+                        telemetry(root.object("telemetry")),
+                        logLevel(root),
+                        bootstrapOperator(root));
+        root.reportUnknown();
+        return settings;
+    }
+
+    private static String name(SettingsFields fields, String name) {
+        return fields.text(name, NAME.asMatchPredicate(), NAME_EXPECTED);
+    }
+
+    private static long millis(SettingsFields fields, String name, long min, long fallback) {
+        return fields.number(name, min, MAX_MS, Option.of(fallback));
+    }
+
+    private static Settings.Http http(SettingsFields fields) {
+        Settings.Http http =
+                new Settings.Http(
+                        fields.text("host", SettingsReader::isIp, "write an IP address"),
+                        (int) fields.number("port", 0, MAX_PORT, Option.none()));
+        fields.reportUnknown();
+        return http;
+    }
+
+    private static Settings.Peer peer(
+            SettingsFields fields, Function<String, Either<String, String>> files) {
+        Settings.Peer peer =
+                new Settings.Peer(
+                        fields.text(
+                                "host",
+                                host -> isIp(host) && !isWildcard(host),
+                                "write the IP address at which other instances reach this one"),
+                        (int) fields.number("port", 0, MAX_PORT, Option.none()),
+                        secret(fields, files),
+                        fields.texts("peers", SettingsReader::isAddress, ADDRESS_EXPECTED));
+        fields.reportUnknown();
+        return peer;
+    }
+
+    private static String secret(
+            SettingsFields fields, Function<String, Either<String, String>> files) {
+        String expectation = "write at least " + MIN_SECRET_LENGTH + " characters";
+        Predicate<String> longEnough = secret -> secret.length() >= MIN_SECRET_LENGTH;
+        Option<String> direct = fields.optionalText("secret", longEnough, expectation);
+        Option<String> file =
+                fields.optionalText("secretFile", path -> !path.isEmpty(), "write a file name");
+        if (fields.has("secret") == fields.has("secretFile")) {
+            fields.report("secret", "write either secret or secretFile");
+            return "";
+        }
+        if (file.isEmpty()) {
+            return direct.getOrElse("");
+        }
+        Either<String, String> content =
+                files.apply(file.get())
+                        .map(String::strip)
+                        .filterOrElse(longEnough, text -> "the file is too short; " + expectation);
+        if (content.isLeft()) {
+            fields.report("secretFile", content.getLeft());
+        }
+        return content.getOrElse("");
+    }
+
+    private static Settings.Platform platform(SettingsFields fields) {
+        String address = fields.text("address", SettingsReader::isAddress, ADDRESS_EXPECTED);
+        fields.reportUnknown();
+        return new Settings.Platform(address);
+    }
+
+    private static Settings.PolicyName policy(SettingsFields fields) {
+        Vector<Settings.PolicyName> names = Vector.of(Settings.PolicyName.values());
+        return fields.optionalText(
+                        "policy",
+                        text -> names.exists(name -> name.text().equals(text)),
+                        "write one of " + names.map(Settings.PolicyName::text).mkString(", "))
+                .flatMap(text -> names.find(name -> name.text().equals(text)))
+                .getOrElse(Settings.PolicyName.CHOSEN);
+    }
+
+    private static Settings.Telemetry telemetry(SettingsFields fields) {
+        Settings.Telemetry telemetry =
+                new Settings.Telemetry(
+                        fields.optionalText(
+                                "otlpEndpoint",
+                                SettingsReader::isHttpUrl,
+                                "write a URL that starts with http:// or https://"),
+                        fields.flag("spanLog", false));
+        fields.reportUnknown();
+        return telemetry;
+    }
+
+    private static LogEvent.Level logLevel(SettingsFields fields) {
+        Vector<LogEvent.Level> levels = Vector.of(LogEvent.Level.values());
+        Function<LogEvent.Level, String> text = level -> level.name().toLowerCase(Locale.ROOT);
+        return fields.optionalText(
+                        "logLevel",
+                        value -> levels.exists(level -> text.apply(level).equals(value)),
+                        "write one of " + levels.map(text).mkString(", "))
+                .flatMap(value -> levels.find(level -> text.apply(level).equals(value)))
+                .getOrElse(LogEvent.Level.INFO);
+    }
+
+    private static Option<Settings.BootstrapOperator> bootstrapOperator(SettingsFields root) {
+        if (!root.has("bootstrapOperator")) {
+            return Option.none();
+        }
+        SettingsFields fields = root.object("bootstrapOperator");
+        Settings.BootstrapOperator operator =
+                new Settings.BootstrapOperator(
+                        name(fields, "name"),
+                        fields.text(
+                                "secretHash",
+                                SecretHash::isWellFormed,
+                                "write sha256:<salt hex>:<digest hex>"));
+        fields.reportUnknown();
+        return Option.of(operator);
+    }
+
+    private static boolean isIp(String text) {
+        return NetUtil.isValidIpV4Address(text) || NetUtil.isValidIpV6Address(text);
+    }
+
+    private static boolean isWildcard(String ip) {
+        return ip.equals("0.0.0.0") || ip.equals("::");
+    }
+
+    private static boolean isAddress(String text) {
+        return IpAddresses.parse(text).isDefined();
+    }
+
+    private static boolean isHttpUrl(String text) {
+        return Try.of(() -> URI.create(text).toURL().getProtocol())
+                .filter(scheme -> scheme.equals("http") || scheme.equals("https"))
+                .isSuccess();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/operator/MonitorController.java
@@ -0,0 +1,40 @@
+package org.sequoiaspindle.daemon.transport.operator;
+
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.Get;
+
+/** Metrics and health of the instance, open to anyone. */
+@Controller
+final class MonitorController {
+
+    private static final MediaType PROMETHEUS =
+            MediaType.of("text/plain; version=0.0.4; charset=utf-8");
+
+    private final MonitorPorts ports;
+
+    MonitorController(MonitorPorts ports) {
+        this.ports = ports;
+    }
+
+    @Get(uri = "/metrics", produces = MediaType.ALL)
+    HttpResponse<?> metrics() {
+        return HttpResponse.ok(ports.metrics().get()).contentType(PROMETHEUS);
+    }
+
+    @Get(uri = "/health/live", produces = MediaType.ALL)
+    HttpResponse<?> live() {
+        return HttpResponse.ok("live").contentType(MediaType.TEXT_PLAIN_TYPE);
+    }
+
+    @Get(uri = "/health/ready", produces = MediaType.ALL)
+    HttpResponse<?> ready() {
+        return ports.ready().getAsBoolean()
+                ? HttpResponse.ok("ready").contentType(MediaType.TEXT_PLAIN_TYPE)
+                : HttpResponse.status(HttpStatus.SERVICE_UNAVAILABLE)
+                        .contentType(MediaType.TEXT_PLAIN_TYPE)
+                        .body("not ready");
+    }
+}
