Write readable object sets in the usual JSON spacing

Cause: the default separators put a space before each colon, unlike the example sets. Change: ObjectSetWriter sets its own separators for writePretty. Result: the reader and writer tests pass; the canonical text is unchanged.

--- a/core/src/main/java/org/sequoiaspindle/core/protocol/json/ObjectSetWriter.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/json/ObjectSetWriter.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.util.DefaultPrettyPrinter;
+import com.fasterxml.jackson.core.util.Separators;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import java.io.IOException;
@@ -20,6 +21,11 @@
 
     private static final JsonFactory FACTORY = new JsonFactory();
 
+    private static final Separators SEPARATORS =
+            Separators.createDefaultInstance()
+                    .withObjectFieldValueSpacing(Separators.Spacing.AFTER)
+                    .withArrayEmptySeparator("");
+
     private ObjectSetWriter() {}
 
     /** Canonical text without white space. */
@@ -36,7 +42,7 @@
         StringWriter out = new StringWriter();
         try (JsonGenerator json = FACTORY.createGenerator(out)) {
             if (pretty) {
-                json.setPrettyPrinter(new DefaultPrettyPrinter());
+                json.setPrettyPrinter(new DefaultPrettyPrinter(SEPARATORS));
             }
             json.writeStartObject();
             for (ObjectKind<?> kind : ObjectKind.ALL) {
