Add the operators' command-line tool

Cause: operators had no way to check, publish and compare object sets or to send a request. Change: commands validate, publish, status, show, diff, request and hash-secret in the layers transport, protocol, coordination and state; the decisions (repetition of a publication, check of a stream, exit codes) are pure functions, and formatting is apart from the work. Micronaut's raw client is used because its streaming client throws on error statuses and gave no body for event streams.

--- /dev/null
+++ b/cli/src/main/java/org/sequoiaspindle/cli/protocol/HashSecretCommand.java
@@ -0,0 +1,15 @@
+package org.sequoiaspindle.cli.protocol;
+
+import org.sequoiaspindle.cli.state.CommandResult;
+import org.sequoiaspindle.cli.state.Report;
+import org.sequoiaspindle.core.state.SecretHash;
+
+/** Makes the salted hash of a secret. */
+public final class HashSecretCommand {
+
+    private HashSecretCommand() {}
+
+    public static CommandResult run(String secret, byte[] salt) {
+        return CommandResult.done(new Report.Hash(SecretHash.of(secret, salt)));
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sequoiaspindle/cli/protocol/InstanceRequest.java
@@ -0,0 +1,27 @@
+package org.sequoiaspindle.cli.protocol;
+
+import io.vavr.collection.LinkedHashMap;
+import io.vavr.collection.Map;
+import org.sequoiaspindle.cli.state.Credential;
+
+/**
+ * A request of the operator or caller interface of an instance.
+ *
+ * @param method HTTP method
+ * @param path path with query
+ * @param headers headers apart from the credential
+ * @param body JSON text, empty for none
+ * @param credential who asks
+ */
+public record InstanceRequest(
+        String method,
+        String path,
+        Map<String, String> headers,
+        String body,
+        Credential credential) {
+
+    /** Request that reads something. */
+    public static InstanceRequest read(String path, Credential credential) {
+        return new InstanceRequest("GET", path, LinkedHashMap.empty(), "", credential);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sequoiaspindle/cli/protocol/ReplyReader.java
@@ -0,0 +1,161 @@
+package org.sequoiaspindle.cli.protocol;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+import java.util.function.Function;
+import org.sequoiaspindle.cli.state.ConfigurationInForce;
+import org.sequoiaspindle.cli.state.PublishReport;
+import org.sequoiaspindle.cli.state.RequestReport;
+import org.sequoiaspindle.cli.state.RequestReport.StageTiming;
+import org.sequoiaspindle.cli.state.StatusReport;
+import org.sequoiaspindle.cli.state.StatusReport.InstanceLine;
+import org.sequoiaspindle.cli.state.StreamedToken;
+import org.sequoiaspindle.core.coordination.configuration.Problem;
+import org.sequoiaspindle.core.protocol.json.ObjectSetReader;
+import org.sequoiaspindle.core.state.Outcome;
+
+/** Reads the JSON answers of instances. A text of another shape gives nothing. */
+final class ReplyReader {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private ReplyReader() {}
+
+    static Option<PublishReport> publication(String body) {
+        return object(body)
+                .flatMap(
+                        json ->
+                                publicationResult(json.path("result").asText())
+                                        .map(
+                                                result ->
+                                                        new PublishReport(
+                                                                result,
+                                                                json.path("generation").asLong(),
+                                                                json.path("operator").asText(),
+                                                                json.path("submission").asText(),
+                                                                json.path("reason").asText(),
+                                                                each(
+                                                                        json.path("problems"),
+                                                                        ReplyReader::problem))));
+    }
+
+    static Option<StatusReport> status(String body) {
+        return object(body)
+                .filter(json -> json.path("generation").isIntegralNumber())
+                .filter(json -> json.path("instances").isArray())
+                .map(
+                        json ->
+                                new StatusReport(
+                                        json.path("instance").asText(),
+                                        json.path("generation").asLong(),
+                                        each(json.path("instances"), ReplyReader::instance)));
+    }
+
+    static Option<ConfigurationInForce> configuration(String body) {
+        return object(body)
+                .filter(json -> json.path("generation").isIntegralNumber())
+                .filter(json -> json.path("objects").isObject())
+                .flatMap(
+                        json ->
+                                ObjectSetReader.read(json.path("objects").toString())
+                                        .toOption()
+                                        .map(
+                                                objects ->
+                                                        new ConfigurationInForce(
+                                                                json.path("generation").asLong(),
+                                                                objects)));
+    }
+
+    static Option<RequestReport> request(String body) {
+        return object(body)
+                .flatMap(
+                        json ->
+                                outcome(json.path("outcome").asText())
+                                        .map(
+                                                outcome ->
+                                                        new RequestReport(
+                                                                outcome,
+                                                                json.path("answer").asText(),
+                                                                json.path("reason").asText(),
+                                                                json.path("detail").asText(),
+                                                                json.path("requestId").asText(),
+                                                                json.path("generation").asLong(),
+                                                                each(
+                                                                        json.path("stages"),
+                                                                        ReplyReader::stage),
+                                                                json.path("traceId").asText())));
+    }
+
+    static Option<StreamedToken> token(String data) {
+        return object(data)
+                .filter(json -> json.path("position").isIntegralNumber())
+                .filter(json -> json.path("text").isTextual())
+                .map(
+                        json ->
+                                new StreamedToken(
+                                        json.path("position").asLong(),
+                                        json.path("text").asText()));
+    }
+
+    private static Option<JsonNode> object(String body) {
+        try {
+            return Option.of(MAPPER.readTree(body)).filter(JsonNode::isObject);
+        } catch (JsonProcessingException e) {
+            return Option.none();
+        }
+    }
+
+    private static Option<PublishReport.Result> publicationResult(String name) {
+        return Option.of(
+                switch (name) {
+                    case "published" -> PublishReport.Result.PUBLISHED;
+                    case "checked" -> PublishReport.Result.CHECKED;
+                    case "invalid" -> PublishReport.Result.INVALID;
+                    case "conflict" -> PublishReport.Result.CONFLICT;
+                    case "notRun" -> PublishReport.Result.NOT_RUN;
+                    case "unknown" -> PublishReport.Result.UNKNOWN;
+                    default -> null;
+                });
+    }
+
+    private static Option<Outcome> outcome(String name) {
+        return Try.of(() -> Outcome.valueOf(name)).toOption();
+    }
+
+    private static Problem problem(JsonNode json) {
+        return new Problem(
+                json.path("code").asText(),
+                json.path("kind").asText(),
+                json.path("object").asText(),
+                json.path("field").asText(),
+                json.path("message").asText());
+    }
+
+    private static InstanceLine instance(JsonNode json) {
+        return new InstanceLine(
+                json.path("instance").asText(),
+                json.path("dataCentre").asText(),
+                json.path("address").asText(),
+                json.path("generation").asLong(),
+                json.path("serving").asText(),
+                json.path("lastHeardMillis").asLong());
+    }
+
+    private static StageTiming stage(JsonNode json) {
+        return new StageTiming(
+                json.path("stage").asText(),
+                json.path("endpoint").asText(),
+                json.path("attempt").asInt(),
+                json.path("outcome").asText(),
+                json.path("waitMs").asLong(),
+                json.path("serviceMs").asLong());
+    }
+
+    private static <T> Vector<T> each(JsonNode array, Function<JsonNode, T> read) {
+        return Vector.ofAll(array).map(read);
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sequoiaspindle/cli/state/ConfigurationInForce.java
@@ -0,0 +1,6 @@
+package org.sequoiaspindle.cli.state;
+
+import org.sequoiaspindle.core.state.ObjectSet;
+
+/** The object set that an instance serves by and its generation. */
+public record ConfigurationInForce(long generation, ObjectSet objects) {}
--- /dev/null
+++ b/cli/src/main/java/org/sequoiaspindle/cli/transport/CliMain.java
@@ -0,0 +1,15 @@
+package org.sequoiaspindle.cli.transport;
+
+import io.vavr.collection.Vector;
+import org.sequoiaspindle.cli.state.ExitCode;
+
+/** Entry point of the operators' command-line tool. */
+public final class CliMain {
+
+    private CliMain() {}
+
+    public static void main(String[] arguments) {
+        ExitCode exit = CommandLine.run(Vector.of(arguments), Surroundings.ofProcess());
+        System.exit(exit.code());
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sequoiaspindle/cli/transport/HelpText.java
@@ -0,0 +1,60 @@
+package org.sequoiaspindle.cli.transport;
+
+import io.vavr.collection.Vector;
+import java.io.IOException;
+import java.io.StringWriter;
+import java.io.UncheckedIOException;
+import joptsimple.BuiltinHelpFormatter;
+import joptsimple.OptionParser;
+import org.sequoiaspindle.cli.state.ExitCode;
+
+/** Help of the tool and of its commands. */
+final class HelpText {
+
+    private static final int WIDTH = 100;
+    private static final int COLUMN_GAP = 2;
+
+    private HelpText() {}
+
+    static String ofTool() {
+        return "usage: sequoiaspindle COMMAND [arguments] [options]\n\n"
+                + CommandTable.ALL
+                        .map(d -> "  %-12s %s%n".formatted(d.name(), d.summary()))
+                        .mkString()
+                + "\n'sequoiaspindle COMMAND --help' lists the options of a command.\n\n"
+                + exitCodes();
+    }
+
+    static String of(CommandDefinition command, OptionParser parser) {
+        String usage =
+                ("usage: sequoiaspindle " + command.name() + " " + command.arguments()).strip();
+        return usage
+                + " [options]\n\n"
+                + command.summary()
+                + "\n\n"
+                + options(parser)
+                + "\n"
+                + exitCodes();
+    }
+
+    private static String options(OptionParser parser) {
+        parser.formatHelpWith(new BuiltinHelpFormatter(WIDTH, COLUMN_GAP));
+        StringWriter text = new StringWriter();
+        try {
+            parser.printHelpOn(text);
+        } catch (IOException e) {
+            throw new UncheckedIOException("a string writer does not fail", e);
+        }
+        return text.toString()
+                .lines()
+                .map(String::stripTrailing)
+                .reduce("", (a, b) -> a + b + "\n");
+    }
+
+    private static String exitCodes() {
+        return "Exit codes:\n"
+                + Vector.of(ExitCode.values())
+                        .map(exit -> "  %d  %s%n".formatted(exit.code(), exit.meaning()))
+                        .mkString();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sequoiaspindle/cli/transport/HttpInstanceCaller.java
@@ -0,0 +1,129 @@
+package org.sequoiaspindle.cli.transport;
+
+import io.micronaut.core.io.buffer.ByteArrayBufferFactory;
+import io.micronaut.http.ByteBodyHttpResponse;
+import io.micronaut.http.HttpMethod;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.MutableHttpRequest;
+import io.micronaut.http.body.CloseableByteBody;
+import io.micronaut.http.body.stream.AvailableByteArrayBody;
+import io.micronaut.http.client.DefaultHttpClientConfiguration;
+import io.micronaut.http.client.HttpClientConfiguration;
+import io.micronaut.http.client.RawHttpClient;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import org.sequoiaspindle.cli.protocol.InstanceCaller;
+import org.sequoiaspindle.cli.protocol.InstanceReply;
+import org.sequoiaspindle.cli.protocol.InstanceReply.Broken;
+import org.sequoiaspindle.cli.protocol.InstanceReply.NotConnected;
+import org.sequoiaspindle.cli.protocol.InstanceReply.Replied;
+import org.sequoiaspindle.cli.protocol.InstanceRequest;
+
+/** Calls instances over HTTP/1.1 with Micronaut's client, without an application context. */
+final class HttpInstanceCaller implements InstanceCaller {
+
+    /** A connection inside an installation takes a few milliseconds; one lost packet costs 1 s. */
+    private static final Duration CONNECT_LIMIT = Duration.ofSeconds(3);
+
+    private static final int MAX_BODY_BYTES = 64 * 1024 * 1024;
+
+    private final Duration silenceLimit;
+
+    HttpInstanceCaller(int silenceLimitMs) {
+        this.silenceLimit = Duration.ofMillis(silenceLimitMs);
+    }
+
+    @Override
+    public InstanceReply call(String instance, InstanceRequest request, Consumer<byte[]> events) {
+        URI uri = URI.create("http://" + instance + request.path());
+        try (RawHttpClient client = RawHttpClient.create(uri, limits())) {
+            return PublisherFutures.<HttpResponse<?>>first(
+                            client.exchange(message(uri, request), body(request), null))
+                    .thenCompose(response -> reply(instance, response, events))
+                    .join();
+        } catch (IOException | RuntimeException e) {
+            return isConnectFailure(e)
+                    ? new NotConnected(instance, reason(e))
+                    : new Broken(instance, reason(e));
+        }
+    }
+
+    private HttpClientConfiguration limits() {
+        HttpClientConfiguration limits = new DefaultHttpClientConfiguration();
+        limits.setConnectTimeout(
+                silenceLimit.compareTo(CONNECT_LIMIT) < 0 ? silenceLimit : CONNECT_LIMIT);
+        limits.setReadTimeout(silenceLimit);
+        limits.setExceptionOnErrorStatus(false);
+        limits.setFollowRedirects(false);
+        return limits;
+    }
+
+    private static MutableHttpRequest<?> message(URI uri, InstanceRequest request) {
+        MutableHttpRequest<Object> message =
+                HttpRequest.create(HttpMethod.valueOf(request.method()), uri.toString());
+        message.header("Authorization", request.credential().authorization());
+        request.headers().forEach(message::header);
+        if (!request.body().isEmpty()) {
+            message.contentType(MediaType.APPLICATION_JSON_TYPE);
+        }
+        return message;
+    }
+
+    private static CloseableByteBody body(InstanceRequest request) {
+        return AvailableByteArrayBody.create(
+                ByteArrayBufferFactory.INSTANCE, request.body().getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static CompletableFuture<InstanceReply> reply(
+            String instance, HttpResponse<?> response, Consumer<byte[]> events) {
+        boolean eventStream =
+                response.getContentType()
+                        .filter(type -> type.matches(MediaType.TEXT_EVENT_STREAM_TYPE))
+                        .isPresent();
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        Consumer<byte[]> sink = eventStream ? events : chunk -> append(body, chunk);
+        return PublisherFutures.forEach(
+                        ((ByteBodyHttpResponse<?>) response).byteBody().toByteArrayPublisher(),
+                        sink)
+                .thenApply(
+                        end ->
+                                new Replied(
+                                        instance,
+                                        response.code(),
+                                        eventStream,
+                                        body.toString(StandardCharsets.UTF_8)));
+    }
+
+    private static void append(ByteArrayOutputStream body, byte[] chunk) {
+        if (body.size() + chunk.length > MAX_BODY_BYTES) {
+            throw new IllegalStateException("answer beyond " + MAX_BODY_BYTES + " bytes");
+        }
+        body.writeBytes(chunk);
+    }
+
+    private static boolean isConnectFailure(Throwable failure) {
+        for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+            if (cause instanceof ConnectException || cause instanceof NoRouteToHostException) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static String reason(Throwable failure) {
+        Throwable root = failure;
+        while (root.getCause() != null) {
+            root = root.getCause();
+        }
+        return root.getMessage() == null ? root.getClass().getSimpleName() : root.getMessage();
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sequoiaspindle/cli/transport/JsonReport.java
@@ -0,0 +1,170 @@
+package org.sequoiaspindle.cli.transport;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import java.util.Locale;
+import org.sequoiaspindle.cli.state.CommandResult;
+import org.sequoiaspindle.cli.state.PublishReport;
+import org.sequoiaspindle.cli.state.Report;
+import org.sequoiaspindle.cli.state.RequestReport;
+import org.sequoiaspindle.cli.state.StatusReport;
+import org.sequoiaspindle.cli.state.StreamedToken;
+import org.sequoiaspindle.core.coordination.configuration.ConfigurationDiff;
+import org.sequoiaspindle.core.coordination.configuration.ConfigurationDiff.ObjectReference;
+import org.sequoiaspindle.core.coordination.configuration.Problem;
+import org.sequoiaspindle.core.protocol.json.ObjectSetWriter;
+
+/** Formats reports for programs: one JSON object on one line, with the exit code. */
+final class JsonReport {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private JsonReport() {}
+
+    static String token(StreamedToken token) {
+        return object().put("position", token.position()).put("text", token.text()).toString();
+    }
+
+    static String render(CommandResult result) {
+        ObjectNode json = object().put("exit", result.exit().code());
+        Report report = result.report();
+        if (report instanceof Report.Message message) {
+            json.put("message", message.text());
+        } else if (report instanceof Report.Checked checked) {
+            json.put("file", checked.file()).set("problems", problems(checked.problems()));
+        } else if (report instanceof Report.Publication publication) {
+            publication(json, publication.report());
+        } else if (report instanceof Report.Status status) {
+            status(json, status.report());
+        } else if (report instanceof Report.Objects objects) {
+            json.put("generation", objects.generation()).set("objects", document(objects));
+        } else if (report instanceof Report.Difference difference) {
+            json.put("generation", difference.generation()).put("file", difference.file());
+            difference(json, difference.diff());
+        } else if (report instanceof Report.Request request) {
+            request.report().forEach(end -> request(json, end));
+            request.faults().forEach(json.putArray("faults")::add);
+        } else {
+            json.put("secretHash", ((Report.Hash) report).secretHash());
+        }
+        return json.toString();
+    }
+
+    private static ObjectNode object() {
+        return JsonNodeFactory.instance.objectNode();
+    }
+
+    private static JsonNode document(Report.Objects objects) {
+        try {
+            return MAPPER.readTree(ObjectSetWriter.write(objects.objects()));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("the writer of object sets writes JSON", e);
+        }
+    }
+
+    private static ArrayNode problems(Vector<Problem> problems) {
+        ArrayNode array = JsonNodeFactory.instance.arrayNode();
+        problems.forEach(
+                problem ->
+                        array.addObject()
+                                .put("code", problem.code())
+                                .put("kind", problem.kind())
+                                .put("object", problem.object())
+                                .put("field", problem.field())
+                                .put("message", problem.message()));
+        return array;
+    }
+
+    private static void publication(ObjectNode json, PublishReport report) {
+        json.put("result", resultName(report.result()))
+                .put("generation", report.generation())
+                .put("operator", report.operator())
+                .put("submission", report.submission())
+                .put("reason", report.reason())
+                .set("problems", problems(report.problems()));
+    }
+
+    /** The names that instances use. */
+    private static String resultName(PublishReport.Result result) {
+        return result == PublishReport.Result.NOT_RUN
+                ? "notRun"
+                : result.name().toLowerCase(Locale.ROOT);
+    }
+
+    private static void status(ObjectNode json, StatusReport report) {
+        json.put("instance", report.instance()).put("generation", report.generation());
+        ArrayNode instances = json.putArray("instances");
+        report.instances()
+                .forEach(
+                        line ->
+                                instances
+                                        .addObject()
+                                        .put("instance", line.instance())
+                                        .put("dataCentre", line.dataCentre())
+                                        .put("address", line.address())
+                                        .put("generation", line.generation())
+                                        .put("serving", line.serving())
+                                        .put("lastHeardMillis", line.lastHeardMillis()));
+    }
+
+    private static void difference(ObjectNode json, ConfigurationDiff diff) {
+        diff.added().forEach(ref -> reference(json.withArray("added").addObject(), ref));
+        diff.removed().forEach(ref -> reference(json.withArray("removed").addObject(), ref));
+        ArrayNode changed = json.putArray("changed");
+        diff.changed()
+                .forEach(
+                        object -> {
+                            ObjectNode node = reference(changed.addObject(), object.object());
+                            ArrayNode fields = node.putArray("fields");
+                            object.fields().forEach(field -> changedField(fields, field));
+                        });
+    }
+
+    private static ObjectNode reference(ObjectNode node, ObjectReference reference) {
+        return node.put("kind", reference.kind()).put("name", reference.name());
+    }
+
+    private static void changedField(ArrayNode fields, ConfigurationDiff.ChangedField field) {
+        ObjectNode node = fields.addObject().put("name", field.name());
+        node.set("before", MAPPER.valueToTree(plain(field.before())));
+        node.set("after", MAPPER.valueToTree(plain(field.after())));
+    }
+
+    /** The value in types that Jackson knows. */
+    private static Object plain(Object value) {
+        if (value instanceof Option<?> option) {
+            return option.getOrNull();
+        }
+        if (value instanceof Enum<?> constant) {
+            return constant.name().toLowerCase(Locale.ROOT);
+        }
+        return value instanceof Vector<?> items ? items.asJava() : value;
+    }
+
+    private static void request(ObjectNode json, RequestReport report) {
+        json.put("outcome", report.outcome().name())
+                .put("answer", report.answer())
+                .put("reason", report.reason())
+                .put("detail", report.detail())
+                .put("requestId", report.requestId())
+                .put("generation", report.generation())
+                .put("traceId", report.traceId());
+        ArrayNode stages = json.putArray("stages");
+        report.stages()
+                .forEach(
+                        stage ->
+                                stages.addObject()
+                                        .put("stage", stage.stage())
+                                        .put("endpoint", stage.endpoint())
+                                        .put("attempt", stage.attempt())
+                                        .put("outcome", stage.outcome())
+                                        .put("waitMs", stage.waitMs())
+                                        .put("serviceMs", stage.serviceMs()));
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sequoiaspindle/cli/transport/TextReport.java
@@ -0,0 +1,209 @@
+package org.sequoiaspindle.cli.transport;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Option;
+import java.util.function.Function;
+import org.sequoiaspindle.cli.state.PublishReport;
+import org.sequoiaspindle.cli.state.Report;
+import org.sequoiaspindle.cli.state.RequestReport;
+import org.sequoiaspindle.core.coordination.configuration.ConfigurationDiff;
+import org.sequoiaspindle.core.coordination.configuration.ConfigurationDiff.ObjectReference;
+import org.sequoiaspindle.core.coordination.configuration.ObjectNames;
+import org.sequoiaspindle.core.coordination.configuration.Problem;
+import org.sequoiaspindle.core.protocol.json.ObjectSetWriter;
+
+/** Formats reports for people. */
+final class TextReport {
+
+    private TextReport() {}
+
+    /** Text of a report, with a line break at its end. */
+    static String render(Report report) {
+        if (report instanceof Report.Message message) {
+            return "sequoiaspindle: " + ObjectNames.printable(message.text()) + "\n";
+        }
+        if (report instanceof Report.Checked checked) {
+            return checked(checked);
+        }
+        if (report instanceof Report.Publication publication) {
+            return publication(publication.report());
+        }
+        if (report instanceof Report.Status status) {
+            return status(status);
+        }
+        if (report instanceof Report.Objects objects) {
+            return "// generation %d%n%s%n"
+                    .formatted(
+                            objects.generation(), ObjectSetWriter.writePretty(objects.objects()));
+        }
+        if (report instanceof Report.Difference difference) {
+            return difference(difference);
+        }
+        if (report instanceof Report.Request request) {
+            return request(request);
+        }
+        return ((Report.Hash) report).secretHash() + "\n";
+    }
+
+    private static String checked(Report.Checked checked) {
+        return checked.problems().isEmpty()
+                ? checked.file() + ": no problems\n"
+                : problems(checked.problems())
+                        + "%s: %d problem(s)%n"
+                                .formatted(checked.file(), checked.problems().size());
+    }
+
+    private static String problems(Vector<Problem> problems) {
+        return problems.map(problem -> line(problem) + "\n").mkString();
+    }
+
+    private static String line(Problem problem) {
+        String field = problem.field().isEmpty() ? "" : ", field " + problem.field();
+        String place = (problem.kind() + " " + problem.object()).strip() + field;
+        String text = (place.isEmpty() ? "" : place + ": ") + problem.message();
+        return ObjectNames.printable(text + " [" + problem.code() + "]");
+    }
+
+    private static String publication(PublishReport report) {
+        String text =
+                switch (report.result()) {
+                    case PUBLISHED ->
+                            "published as generation %d; 'status' shows where it is in force"
+                                    .formatted(report.generation());
+                    case CHECKED ->
+                            "consistent; nothing was published, generation %d stays in force"
+                                    .formatted(report.generation());
+                    case INVALID -> "invalid; nothing was published, correct the problems above";
+                    case CONFLICT ->
+                            "conflict; generation %d of operator %s is in force, nothing was"
+                                            .formatted(report.generation(), report.operator())
+                                    + " published; see 'diff', then publish with --base "
+                                    + report.generation();
+                    case NOT_RUN -> "not run: " + report.reason() + "; nothing was published";
+                    case UNKNOWN ->
+                            "unknown: %s; it may have been published, see 'status' or repeat with"
+                                            .formatted(report.reason())
+                                    + " --submission "
+                                    + report.submission();
+                };
+        return problems(report.problems()) + ObjectNames.printable(text) + "\n";
+    }
+
+    private static String status(Report.Status status) {
+        Vector<Vector<String>> rows =
+                status.report()
+                        .instances()
+                        .map(
+                                line ->
+                                        Vector.of(
+                                                line.instance(),
+                                                line.dataCentre(),
+                                                line.address(),
+                                                Long.toString(line.generation()),
+                                                line.serving(),
+                                                Long.toString(line.lastHeardMillis())));
+        String table =
+                TextTable.of(
+                        Vector.of(
+                                "instance",
+                                "data centre",
+                                "address",
+                                "generation",
+                                "state",
+                                "last heard ms"),
+                        rows);
+        return table
+                + (status.same()
+                        ? "generation %d is in force on all %d instances%n"
+                                .formatted(status.report().generation(), rows.size())
+                        : "the instances have different generations; look again in a few"
+                                + " seconds, then see to the instances that lag or are silent\n");
+    }
+
+    private static String difference(Report.Difference difference) {
+        ConfigurationDiff diff = difference.diff();
+        String base = "base generation " + difference.generation();
+        if (diff.isEmpty()) {
+            return "no difference, " + base + "\n";
+        }
+        return references("+ ", diff.added())
+                + references("- ", diff.removed())
+                + diff.changed().map(TextReport::changed).mkString()
+                + "%d added, %d removed, %d changed, %s%n"
+                        .formatted(
+                                diff.added().size(),
+                                diff.removed().size(),
+                                diff.changed().size(),
+                                base);
+    }
+
+    private static String references(String sign, Vector<ObjectReference> references) {
+        return references.map(ref -> sign + ref.kind() + " " + ref.name() + "\n").mkString();
+    }
+
+    private static String changed(ConfigurationDiff.ChangedObject object) {
+        return "~ %s %s%n".formatted(object.object().kind(), object.object().name())
+                + object.fields()
+                        .map(
+                                field ->
+                                        "    %s: %s -> %s%n"
+                                                .formatted(
+                                                        field.name(),
+                                                        value(field.before()),
+                                                        value(field.after())))
+                        .mkString();
+    }
+
+    private static String value(Object value) {
+        if (value instanceof Option<?> option) {
+            return option.<String>map(TextReport::value).getOrElse("(none)");
+        }
+        return value instanceof Vector<?> items ? items.mkString("[", ", ", "]") : value.toString();
+    }
+
+    private static String request(Report.Request request) {
+        Function<RequestReport, String> end = report -> answer(report, request.streamed());
+        return request.report().map(end).getOrElse("\n")
+                + request.faults().map(fault -> "fault: " + fault + "\n").mkString()
+                + request.report()
+                        .map(TextReport::outcome)
+                        .getOrElse("outcome not known: the request may have run\n");
+    }
+
+    private static String answer(RequestReport report, boolean streamed) {
+        Vector<Vector<String>> rows =
+                report.stages()
+                        .map(
+                                stage ->
+                                        Vector.of(
+                                                stage.stage(),
+                                                stage.endpoint(),
+                                                Integer.toString(stage.attempt()),
+                                                stage.outcome(),
+                                                Long.toString(stage.waitMs()),
+                                                Long.toString(stage.serviceMs())));
+        String table =
+                TextTable.of(
+                        Vector.of(
+                                "stage", "endpoint", "attempt", "result", "wait ms", "service ms"),
+                        rows);
+        String text = streamed || report.answer().isEmpty() ? "" : report.answer();
+        return (streamed || !text.isEmpty() ? text + "\n\n" : "") + (rows.isEmpty() ? "" : table);
+    }
+
+    private static String outcome(RequestReport report) {
+        String reason =
+                Vector.of(report.reason(), report.detail())
+                        .filter(text -> !text.isEmpty() && !text.equals("NONE"))
+                        .mkString(": ");
+        String text =
+                "outcome %s%s, request %s, generation %d%s"
+                        .formatted(
+                                report.outcome(),
+                                reason.isEmpty() ? "" : " (" + reason + ")",
+                                report.requestId(),
+                                report.generation(),
+                                report.traceId().isEmpty() ? "" : ", trace " + report.traceId());
+        return ObjectNames.printable(text) + "\n";
+    }
+}
--- /dev/null
+++ b/cli/src/main/java/org/sequoiaspindle/cli/transport/TextTable.java
@@ -0,0 +1,30 @@
+package org.sequoiaspindle.cli.transport;
+
+import io.vavr.collection.Vector;
+import org.sequoiaspindle.core.coordination.configuration.ObjectNames;
+
+/** Formats rows of text in columns of equal width. */
+final class TextTable {
+
+    private static final String GAP = "  ";
+
+    private TextTable() {}
+
+    /** The header and the rows, each on a line of its own. */
+    static String of(Vector<String> header, Vector<Vector<String>> rows) {
+        Vector<Vector<String>> all =
+                rows.prepend(header).map(row -> row.map(ObjectNames::printable));
+        Vector<Integer> widths =
+                Vector.range(0, header.size())
+                        .map(column -> all.map(row -> row.get(column).length()).max().get());
+        return all.map(row -> line(row, widths)).mkString();
+    }
+
+    private static String line(Vector<String> row, Vector<Integer> widths) {
+        return row.zipWith(widths, TextTable::padded).mkString(GAP).stripTrailing() + "\n";
+    }
+
+    private static String padded(String cell, int width) {
+        return cell + " ".repeat(width - cell.length());
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/org/sequoiaspindle/cli/coordination/PublicationProgressTest.java
@@ -0,0 +1,46 @@
+package org.sequoiaspindle.cli.coordination;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.sequoiaspindle.cli.state.PublishReport;
+import org.sequoiaspindle.cli.state.PublishReport.Result;
+
+/** Guards against endless repetitions and against "not run" for a set that may be in force. */
+final class PublicationProgressTest {
+
+    @Property(seed = "20261204")
+    void publicationEndsAfterAtMostThreeRepetitions(@ForAll @Size(4) List<Result> results) {
+        PublicationProgress end = progress(results);
+
+        assertTrue(end.settled().isDefined());
+        assertTrue(end.attempts() <= 1 + PublicationProgress.MAX_REPETITIONS);
+    }
+
+    @Property(seed = "20261204")
+    void publicationWithAnUnknownAttemptIsNeverReportedAsNotRun(
+            @ForAll @Size(4) List<Result> results) {
+        PublicationProgress end = progress(results);
+
+        if (end.mayHaveRun()) {
+            assertNotEquals(Result.NOT_RUN, end.settled().get().result());
+        } else {
+            assertEquals(results.get(0), end.settled().get().result());
+        }
+    }
+
+    private static PublicationProgress progress(List<Result> results) {
+        PublicationProgress progress = PublicationProgress.start("s");
+        for (Result result : results) {
+            if (progress.settled().isEmpty()) {
+                progress = progress.after(PublishReport.of(result, "other", ""));
+            }
+        }
+        return progress;
+    }
+}
--- /dev/null
+++ b/cli/src/test/java/org/sequoiaspindle/cli/transport/RequestTest.java
@@ -0,0 +1,142 @@
+package org.sequoiaspindle.cli.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.collection.Vector;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.sequoiaspindle.cli.state.ExitCode;
+
+/** Guards against incomplete answers that pass as whole and against wrong exit codes. */
+final class RequestTest {
+
+    private static final String OUTCOME =
+            "event: outcome\ndata: {\"outcome\":\"ANSWERED\",\"answer\":\"ab\",\"reason\":\"NONE\","
+                    + "\"requestId\":\"r1\",\"generation\":3,\"stages\":[{\"stage\":\"generate\","
+                    + "\"endpoint\":\"e1\",\"attempt\":1,\"outcome\":\"Completed\",\"waitMs\":2,"
+                    + "\"serviceMs\":40}],\"traceId\":\"t1\"}\n\n";
+
+    @Test
+    void streamedAnswerIsPrintedWithTimingsAndOutcome() {
+        CliRun run = streamed(FakeInstance.events(token(0, "a") + token(1, "b") + OUTCOME));
+
+        assertEquals(
+                """
+                exit 0
+                ab
+
+                stage     endpoint  attempt  result     wait ms  service ms
+                generate  e1        1        Completed  2        40
+                outcome ANSWERED, request r1, generation 3, trace t1
+                """,
+                run.all());
+    }
+
+    @Test
+    void gapInThePositionsIsAFailureEvenIfTheOutcomeSaysAnswered() {
+        CliRun run = streamed(FakeInstance.events(token(0, "a") + token(2, "b") + OUTCOME));
+
+        assertEquals(ExitCode.FAILED, run.exit(), run.all());
+        assertTrue(run.out().contains("token at position 2 where 1 was due"), run.out());
+    }
+
+    @Test
+    void missingFirstTokenIsAFailure() {
+        assertEquals(
+                ExitCode.FAILED, streamed(FakeInstance.events(token(1, "b") + OUTCOME)).exit());
+    }
+
+    @Test
+    void streamThatEndsWithoutAnOutcomeIsUnknown() {
+        CliRun run = streamed(FakeInstance.events(token(0, "a")));
+
+        assertEquals(ExitCode.UNKNOWN, run.exit(), run.all());
+        assertTrue(run.out().contains("the answer is incomplete"), run.out());
+    }
+
+    @Test
+    void streamThatIsCutOffIsUnknown() {
+        CliRun run = streamed(FakeInstance.cutAfter(token(0, "a")));
+
+        assertEquals(ExitCode.UNKNOWN, run.exit(), run.all());
+        assertTrue(run.out().startsWith("a"), run.out());
+    }
+
+    @ParameterizedTest
+    @CsvSource({
+        "200, ANSWERED, DONE",
+        "503, NOT_RUN, NOT_RUN",
+        "429, NOT_RUN, NOT_RUN",
+        "502, FAILED, FAILED",
+        "502, UNKNOWN, UNKNOWN",
+        "504, DEADLINE_EXCEEDED, DEADLINE_EXCEEDED"
+    })
+    void exitCodeFollowsTheOutcomeInTheBody(int status, String outcome, ExitCode expected) {
+        String body = "{\"outcome\":\"%s\",\"answer\":\"\",\"stages\":[]}".formatted(outcome);
+
+        assertEquals(expected, request(FakeInstance.json(status, body)).exit());
+    }
+
+    @ParameterizedTest
+    @CsvSource({"401, NOT_RUN", "404, NOT_RUN", "502, UNKNOWN", "200, UNKNOWN"})
+    void replyWithoutAnOutcomeCountsAsNotRunOnlyForClientErrors(int status, ExitCode expected) {
+        assertEquals(expected, request(FakeInstance.json(status, "<html>")).exit());
+    }
+
+    @Test
+    void requestIsSentOnceEvenIfTheConnectionIsLost() {
+        try (FakeInstance first = FakeInstance.answering(FakeInstance.cutAfter(""));
+                FakeInstance second = FakeInstance.answering(FakeInstance.json(200, "{}"))) {
+            CliRun run = request(first, second.address());
+
+            assertEquals(ExitCode.UNKNOWN, run.exit(), run.all());
+            assertEquals(1, first.received().size());
+            assertTrue(second.received().isEmpty());
+        }
+    }
+
+    @Test
+    void keyDeadlineAndBodyReachTheInstance() {
+        try (FakeInstance instance = FakeInstance.answering(FakeInstance.json(200, "{}"))) {
+            request(instance, instance.address(), "--key=1764835200000-x", "--deadline-ms=900");
+            FakeInstance.Received received = instance.received().head();
+
+            assertEquals("POST /v1/pipelines/chat", received.method() + " " + received.uri());
+            assertEquals("1764835200000-x", received.headers().getFirst("Idempotency-Key"));
+            assertEquals("900", received.headers().getFirst("Sequoia-Deadline-Ms"));
+            assertEquals("{\"input\":\"hello\",\"maxTokens\":256}", received.body());
+        }
+    }
+
+    private static CliRun streamed(FakeInstance.Script script) {
+        try (FakeInstance instance = FakeInstance.answering(script)) {
+            return request(instance, instance.address(), "--stream");
+        }
+    }
+
+    private static CliRun request(FakeInstance.Script script) {
+        try (FakeInstance instance = FakeInstance.answering(script)) {
+            return request(instance, instance.address());
+        }
+    }
+
+    private static CliRun request(FakeInstance first, String next, String... more) {
+        return CliRun.of(
+                Vector.of(
+                                "request",
+                                "chat",
+                                "--input=hello",
+                                "--organisation=relais",
+                                "--instance=" + first.address(),
+                                "--instance=" + next)
+                        .appendAll(Vector.of(more))
+                        .toJavaArray(String[]::new));
+    }
+
+    private static String token(int position, String text) {
+        return "event: token\ndata: {\"position\":%d,\"text\":\"%s\"}\n\n"
+                .formatted(position, text);
+    }
+}
