--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/wiring/ConfigurationPath.java
@@ -0,0 +1,62 @@
+package org.sequoiaspindle.daemon.transport.wiring;
+
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.coordination.configuration.ConfigurationChecker;
+import org.sequoiaspindle.core.protocol.json.ObjectSetReader;
+import org.sequoiaspindle.core.protocol.json.ObjectSetWriter;
+import org.sequoiaspindle.core.protocol.publication.ConfigurationFollower;
+import org.sequoiaspindle.core.protocol.publication.HeldConfiguration;
+import org.sequoiaspindle.core.protocol.publication.ObjectSetFunctions;
+import org.sequoiaspindle.core.protocol.publication.Publisher;
+import org.sequoiaspindle.core.protocol.publication.StorePublisher;
+import org.sequoiaspindle.core.protocol.store.Store;
+
+/**
+ * Reads and publishes configurations.
+ *
+ * @param follower adopts what the store and the peers have
+ * @param publisher publishes what operators submit
+ */
+record ConfigurationPath(ConfigurationFollower follower, Publisher publisher) {
+
+    /**
+     * Creates the path; the follower does not watch before it is started.
+     *
+     * @param watching whether this instance is a watcher of the store
+     * @param adopted is told of each configuration that comes into force
+     */
+    static ConfigurationPath of(
+            Foundation base,
+            Store store,
+            BooleanSupplier watching,
+            Consumer<HeldConfiguration> adopted) {
+        ObjectSetFunctions functions =
+                new ObjectSetFunctions(
+                        ObjectSetWriter::write,
+                        text -> ObjectSetReader.read(text).mapLeft(Object::toString),
+                        ConfigurationChecker::check);
+        ConfigurationFollower follower =
+                new ConfigurationFollower(
+                        store,
+                        base.timer()::schedule,
+                        base.clock(),
+                        () -> ThreadLocalRandom.current().nextDouble(),
+                        watching,
+                        functions,
+                        base.snapshots(),
+                        adopted,
+                        base.events());
+        Publisher publisher =
+                new StorePublisher(
+                        store,
+                        base.timer()::schedule,
+                        MillisClock.wall(),
+                        functions,
+                        () -> base.snapshots().current().generation(),
+                        base.events());
+        return new ConfigurationPath(base.closer().register(follower), publisher);
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/wiring/Foundation.java
@@ -0,0 +1,62 @@
+package org.sequoiaspindle.daemon.transport.wiring;
+
+import java.util.function.LongFunction;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.sequoiaspindle.core.common.Closer;
+import org.sequoiaspindle.core.common.EventLog;
+import org.sequoiaspindle.core.common.ExecutorTimer;
+import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.state.SnapshotHolder;
+import org.sequoiaspindle.daemon.state.Settings;
+
+/**
+ * What all parts of an instance stand on.
+ *
+ * @param settings settings of the instance
+ * @param events receives log events
+ * @param clock monotonic clock
+ * @param timer runs tasks later
+ * @param snapshots the configuration in force
+ * @param closer closes what the parts open
+ */
+record Foundation(
+        Settings settings,
+        EventLog events,
+        MillisClock clock,
+        ExecutorTimer timer,
+        SnapshotHolder snapshots,
+        Closer closer) {
+
+    private static final int TIMER_THREADS = 2;
+
+    static Foundation of(Settings settings, EventLog events) {
+        Closer closer = new Closer();
+        return new Foundation(
+                settings,
+                events,
+                MillisClock.monotonic(),
+                closer.register(new ExecutorTimer(TIMER_THREADS, "timer")),
+                new SnapshotHolder(),
+                closer);
+    }
+
+    /** Gives stages that complete after a number of milliseconds. */
+    LongFunction<CompletionStage<Void>> delays() {
+        return millis -> {
+            CompletableFuture<Void> due = new CompletableFuture<>();
+            timer.schedule(millis, () -> due.complete(null));
+            return due;
+        };
+    }
+
+    /** Runs a task at a fixed interval, in milliseconds, until the timer is closed. */
+    void every(long intervalMillis, Runnable task) {
+        timer.schedule(
+                intervalMillis,
+                () -> {
+                    every(intervalMillis, task);
+                    task.run();
+                });
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/wiring/RequestPath.java
@@ -0,0 +1,108 @@
+package org.sequoiaspindle.daemon.transport.wiring;
+
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
+import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.coordination.policy.Policies;
+import org.sequoiaspindle.core.coordination.retry.RetryBudget;
+import org.sequoiaspindle.core.coordination.retry.RetryRule;
+import org.sequoiaspindle.core.coordination.routing.Groups;
+import org.sequoiaspindle.core.protocol.claim.ClaimKeeper;
+import org.sequoiaspindle.core.protocol.claim.KeyedRuns;
+import org.sequoiaspindle.core.protocol.endpoint.EndpointCaller;
+import org.sequoiaspindle.core.protocol.request.HedgeRule;
+import org.sequoiaspindle.core.protocol.request.HopTracer;
+import org.sequoiaspindle.core.protocol.request.RequestHandler;
+import org.sequoiaspindle.core.protocol.request.RequestRecord;
+import org.sequoiaspindle.core.protocol.request.RequestRunner;
+import org.sequoiaspindle.core.protocol.request.RequestServices;
+import org.sequoiaspindle.core.protocol.request.Spillover;
+import org.sequoiaspindle.core.protocol.store.Store;
+import org.sequoiaspindle.core.state.RequestId;
+import org.sequoiaspindle.daemon.state.Settings;
+
+/** Builds what runs requests. */
+final class RequestPath {
+
+    private static final double EXTRA_ATTEMPT_SHARE = 0.1;
+    private static final double HEDGE_FACTOR = 3;
+    private static final long MIN_HEDGE_MS = 50;
+    private static final String NAIVE_POLICY = "naive";
+
+    private RequestPath() {}
+
+    /** Schedulers of the endpoint groups under the policy of the settings. */
+    static Groups groups(Foundation base) {
+        Settings settings = base.settings();
+        return new Groups(
+                settings.dataCentre(),
+                Policies.named(settings.policy().text()).get(),
+                base.clock(),
+                base.timer());
+    }
+
+    /**
+     * Runs requests.
+     *
+     * @param instanceShare share of the data centre's limits that this instance has
+     */
+    static RequestHandler handler(
+            Foundation base,
+            Store store,
+            Groups groups,
+            EndpointCaller endpoints,
+            Spillover spillover,
+            HopTracer tracer,
+            Consumer<RequestRecord> records,
+            DoubleSupplier instanceShare) {
+        boolean naive = base.settings().policy().text().equals(NAIVE_POLICY);
+        RequestServices services =
+                new RequestServices(
+                        groups,
+                        endpoints,
+                        spillover,
+                        naive ? RetryRule.UNBOUNDED : RetryRule.SAFE,
+                        naive
+                                ? HedgeRule.NEVER
+                                : HedgeRule.beyondExpectation(HEDGE_FACTOR, MIN_HEDGE_MS),
+                        new RetryBudget(EXTRA_ATTEMPT_SHARE),
+                        base.clock(),
+                        base.timer(),
+                        tracer,
+                        base.events(),
+                        requestIds(base),
+                        records);
+        ClaimKeeper claims =
+                new ClaimKeeper(
+                        store,
+                        base.timer()::schedule,
+                        MillisClock.wall(),
+                        base.clock(),
+                        uniqueNames(base, "claim"),
+                        base.events());
+        return new RequestRunner(
+                base.snapshots(),
+                services,
+                new KeyedRuns(claims, base.timer()::schedule),
+                instanceShare);
+    }
+
+    private static Supplier<RequestId> requestIds(Foundation base) {
+        Supplier<String> names = uniqueNames(base, "request");
+        return () -> new RequestId(names.get());
+    }
+
+    /** Names unique across instances and restarts. */
+    private static Supplier<String> uniqueNames(Foundation base, String kind) {
+        String prefix =
+                base.settings().instance()
+                        + "-"
+                        + kind.charAt(0)
+                        + Long.toString(MillisClock.wall().now(), Character.MAX_RADIX)
+                        + "-";
+        AtomicLong last = new AtomicLong();
+        return () -> prefix + last.incrementAndGet();
+    }
+}
