Wire log, traces and metrics; name policies in one place

Cause: the settings listed policies apart from the policies themselves, and the daemon had no log, spans or metrics. Change: Policies.names() is the list; log events, spans and metrics wired; stage reports carry the group.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/policy/Policies.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/policy/Policies.java
@@ -22,6 +22,9 @@
  */
 public final class Policies {
 
+    /** Policy that an instance uses unless its settings name another. */
+    public static final String DEFAULT = "chosen";
+
     private static final double LONG_SHARE = 0.5;
     private static final double AFFINITY_BOUND = 1.5;
     private static final AdmissionRule ADMIT_ALL = (group, profile, now) -> Option.none();
@@ -30,7 +33,7 @@
             LinkedHashMap.<String, Supplier<Policy>>empty()
                     .put("naive", Policies::naive)
                     .put("leastOutstanding", Policies::leastOutstanding)
-                    .put("chosen", Policies::chosen)
+                    .put(DEFAULT, Policies::chosen)
                     .put("chosenWithoutAdmission", () -> chosen().withAdmission(ADMIT_ALL))
                     .put("chosenWithoutHealth", Policies::withoutHealth)
                     .put("chosenWithoutLongShare", () -> chooser(1, AFFINITY_BOUND, false, true))
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/request/StageReport.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/StageReport.java
@@ -6,6 +6,7 @@
  * One attempt of a stage, as shown to the caller and in traces.
  *
  * @param stage name of the stage
+ * @param group endpoint group of the stage
  * @param endpoint endpoint that ran it, empty if none was assigned
  * @param attempt number of the attempt within the stage, from 1
  * @param result class of the result, the simple name of the {@code CallResult}
@@ -14,6 +15,7 @@
  */
 public record StageReport(
         String stage,
+        String group,
         String endpoint,
         int attempt,
         String result,
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/request/StageRun.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/StageRun.java
@@ -222,6 +222,7 @@
         StageReport report =
                 new StageReport(
                         stage.planned().stage().name(),
+                        stage.planned().group(),
                         sent.assigned().endpoint(),
                         sent.number(),
                         result.getClass().getSimpleName(),
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/settings/SettingsReader.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/settings/SettingsReader.java
@@ -13,6 +13,7 @@
 import java.util.function.Predicate;
 import java.util.regex.Pattern;
 import org.sequoiaspindle.core.common.LogEvent;
+import org.sequoiaspindle.core.coordination.policy.Policies;
 import org.sequoiaspindle.core.state.SecretHash;
 import org.sequoiaspindle.daemon.protocol.IpAddresses;
 import org.sequoiaspindle.daemon.state.DrainLimits;
@@ -142,14 +143,12 @@
         return new Settings.Platform(address);
     }
 
-    private static Settings.PolicyName policy(SettingsFields fields) {
-        Vector<Settings.PolicyName> names = Vector.of(Settings.PolicyName.values());
+    private static String policy(SettingsFields fields) {
         return fields.optionalText(
                         "policy",
-                        text -> names.exists(name -> name.text().equals(text)),
-                        "write one of " + names.map(Settings.PolicyName::text).mkString(", "))
-                .flatMap(text -> names.find(name -> name.text().equals(text)))
-                .getOrElse(Settings.PolicyName.CHOSEN);
+                        Policies.names()::contains,
+                        "write one of " + Policies.names().mkString(", "))
+                .getOrElse(Policies.DEFAULT);
     }
 
     private static Settings.Telemetry telemetry(SettingsFields fields) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/state/Settings.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/state/Settings.java
@@ -25,31 +25,13 @@
         Http http,
         Peer peer,
         Platform platform,
-        PolicyName policy,
+        String policy,
         DrainLimits drain,
         EndpointLimits endpoint,
         Telemetry telemetry,
         LogEvent.Level logLevel,
         Option<BootstrapOperator> bootstrapOperator) {
 
-    /** Names of the routing policies. */
-    public enum PolicyName {
-        NAIVE("naive"),
-        LEAST_OUTSTANDING("leastOutstanding"),
-        CHOSEN("chosen");
-
-        private final String text;
-
-        PolicyName(String text) {
-            this.text = text;
-        }
-
-        /** Name as written in the settings. */
-        public String text() {
-            return text;
-        }
-    }
-
     /**
      * Listener for HTTP.
      *
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/DaemonMain.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/DaemonMain.java
@@ -44,14 +44,13 @@
     }
 
     private static void run(Path file) throws InterruptedException {
-        EventLog events = new LogEventWriter();
+        LogEventWriter events = LogEventWriter.atLevel(LogEvent.Level.INFO);
         Either<Vector<SettingsProblem>, Settings> settings =
                 text(file)
                         .mapLeft(reason -> Vector.of(new SettingsProblem(1, "", reason)))
                         .flatMap(
                                 content ->
-                                        SettingsReader.read(
-                                                content, name -> text(Path.of(name))));
+                                        SettingsReader.read(content, name -> text(Path.of(name))));
         if (settings.isLeft()) {
             settings.getLeft().forEach(problem -> invalid(events, file, problem));
             System.exit(EXIT_USAGE);
@@ -60,11 +59,11 @@
                 (thread, failure) -> {
                     events.record(
                             LogEvent.INVARIANT_BROKEN,
-                            HashMap.of(
-                                    "thread", thread.getName(), "failure", failure.toString()));
+                            HashMap.of("thread", thread.getName(), "failure", failure.toString()));
                     failure.printStackTrace();
                     Runtime.getRuntime().halt(EXIT_BROKEN);
                 });
+        LogEventWriter.atLevel(settings.get().logLevel());
         Daemon daemon = Daemon.start(settings.get(), events);
         CountDownLatch stopped = new CountDownLatch(1);
         Runtime.getRuntime()
@@ -73,6 +72,7 @@
                                 () -> {
                                     daemon.drain().toCompletableFuture().join();
                                     daemon.close();
+                                    events.close();
                                     stopped.countDown();
                                     // A JVM ended by a signal reports 128 + its number; a complete
                                     // drain is a success.
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/wiring/Daemon.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/wiring/Daemon.java
@@ -15,7 +15,9 @@
 import org.sequoiaspindle.core.protocol.publication.HeldConfiguration;
 import org.sequoiaspindle.core.protocol.request.HopTracer;
 import org.sequoiaspindle.core.protocol.request.RequestHandler;
+import org.sequoiaspindle.core.protocol.request.RequestRecord;
 import org.sequoiaspindle.core.protocol.request.Spillover;
+import org.sequoiaspindle.core.protocol.request.StageReport;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.daemon.coordination.Drain;
 import org.sequoiaspindle.daemon.state.Settings;
@@ -25,6 +27,8 @@
 import org.sequoiaspindle.daemon.transport.operator.MonitorPorts;
 import org.sequoiaspindle.daemon.transport.operator.OperatorPorts;
 import org.sequoiaspindle.daemon.transport.store.HttpStore;
+import org.sequoiaspindle.daemon.transport.telemetry.MetricsRecorder;
+import org.sequoiaspindle.daemon.transport.telemetry.OtelHopTracer;
 
 /** One entry instance: its parts, joined, from start to drain. */
 public final class Daemon implements AutoCloseable {
@@ -35,6 +39,7 @@
     private final HttpFrontEnd frontEnd;
     private final Drain drain;
     private final Groups groups;
+    private final MetricsRecorder metrics;
     private final AtomicBoolean readyLogged = new AtomicBoolean();
 
     private Daemon(Settings settings, EventLog events) {
@@ -46,6 +51,7 @@
                                         settings.http().host(), settings.http().port()));
         drain = new Drain(settings.drain(), base.delays());
         groups = RequestPath.groups(base);
+        metrics = new MetricsRecorder(base.clock());
     }
 
     /** Starts an instance. It becomes ready once it holds a configuration. */
@@ -79,18 +85,26 @@
 
     private void open() {
         Settings settings = base.settings();
-        HttpStore store = base.closer().register(new HttpStore(settings.platform().address()));
+        Store store =
+                metrics.counting(
+                        base.closer().register(new HttpStore(settings.platform().address())));
         ConfigurationPath configuration =
                 ConfigurationPath.of(base, store, () -> true, this::adopted);
         EndpointCaller endpoints =
                 new HttpEndpointCaller(frontEnd.eventLoops(), settings.endpoint());
-        HopTracer tracer = HopTracer.NONE;
+        HopTracer tracer =
+                base.closer()
+                        .register(
+                                OtelHopTracer.create(
+                                        settings.instance(),
+                                        settings.dataCentre(),
+                                        settings.telemetry()));
         RequestHandler handler = handler(store, endpoints, tracer);
         frontEnd.start(
                 Vector.of(
                         new CallerPorts(handler, tracer),
                         operatorPorts(configuration),
-                        new MonitorPorts(() -> "", this::isReady)));
+                        new MonitorPorts(metrics::text, this::isReady)));
         configuration.follower().start();
         base.every(ADVANCE_MS, groups::advance);
         base.events()
@@ -114,9 +128,17 @@
                         endpoints,
                         Spillover.NONE,
                         tracer,
-                        record -> {},
+                        this::measure,
                         () -> 1.0);
-        return (request, sink) -> drain.track(() -> runner.handle(request, sink));
+        RequestHandler counted = metrics.counting(runner);
+        return (request, sink) -> drain.track(() -> counted.handle(request, sink));
+    }
+
+    private void measure(RequestRecord record) {
+        for (StageReport attempt : record.answer().stages()) {
+            metrics.stageAttempted(
+                    attempt.stage(), attempt.group(), attempt.result(), attempt.serviceMillis());
+        }
     }
 
     private OperatorPorts operatorPorts(ConfigurationPath configuration) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/wiring/Foundation.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/wiring/Foundation.java
@@ -1,8 +1,8 @@
 package org.sequoiaspindle.daemon.transport.wiring;
 
-import java.util.function.LongFunction;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.LongFunction;
 import org.sequoiaspindle.core.common.Closer;
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.ExecutorTimer;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/wiring/RequestPath.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/wiring/RequestPath.java
@@ -38,7 +38,7 @@
         Settings settings = base.settings();
         return new Groups(
                 settings.dataCentre(),
-                Policies.named(settings.policy().text()).get(),
+                Policies.named(settings.policy()).get(),
                 base.clock(),
                 base.timer());
     }
@@ -57,7 +57,7 @@
             HopTracer tracer,
             Consumer<RequestRecord> records,
             DoubleSupplier instanceShare) {
-        boolean naive = base.settings().policy().text().equals(NAIVE_POLICY);
+        boolean naive = base.settings().policy().equals(NAIVE_POLICY);
         RequestServices services =
                 new RequestServices(
                         groups,
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/protocol/settings/SettingsReaderTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/protocol/settings/SettingsReaderTest.java
@@ -37,7 +37,7 @@
         Settings settings = read(GOOD).get();
         assertEquals("entry-1", settings.instance());
         assertEquals(Vector.of("127.0.0.1:7002"), settings.peer().peers());
-        assertEquals(Settings.PolicyName.LEAST_OUTSTANDING, settings.policy());
+        assertEquals("leastOutstanding", settings.policy());
         assertEquals(new EndpointLimits(10_000, 700), settings.endpoint());
         assertEquals(5000, settings.drain().graceMillis());
     }
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/caller/CallerControllerTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/caller/CallerControllerTest.java
@@ -259,7 +259,7 @@
                 "",
                 "out",
                 7,
-                Vector.of(new StageReport("s", "e", 1, "Completed", 2, 3)));
+                Vector.of(new StageReport("s", "g", "e", 1, "Completed", 2, 3)));
     }
 
     private static HttpRequest.Builder request(String body) {
