--- a/standins/src/test/java/org/sequoiaspindle/standins/transport/EngineServerTest.java
+++ b/standins/src/test/java/org/sequoiaspindle/standins/transport/EngineServerTest.java
@@ -121,16 +121,32 @@
 
     @Test
     void aFrozenStreamGoesOnWhereItStoodAfterTheFault() {
-        RawCall call = execute("{\"input\":\"abc\",\"maxTokens\":200}");
-        assertEquals(token("abc", 0), call.nextData());
+        RawCall call = execute(ENDLESS);
+        assertEquals(token("long", 0), call.nextData());
         engine.fault(EndpointFault.of(EndpointFault.Mode.FROZEN));
         RawCall later = execute(FOUR_TOKENS);
         Await.until(() -> engine.load().running() == 2);
         assertEquals(1, engine.stats().get("started"));
-        assertEquals(0, engine.stats().get("completed"));
         engine.fault(EndpointFault.none());
-        assertEquals(200, call.allData().size());
         assertEquals(5, later.allData().size());
+        for (long position = 1; position < 300; position++) {
+            assertEquals(token("long", position), call.nextData());
+        }
+    }
+
+    @Test
+    void aCallerThatAcceptsOnlyJsonGetsTheWholeAnswerAtOnce() {
+        String body =
+                Client.send(
+                                "POST",
+                                engine.address(),
+                                "/v1/execute",
+                                FOUR_TOKENS,
+                                "Accept",
+                                "application/json")
+                        .body();
+        String output = "{\"output\":\"" + EngineServer.expectedAnswer("abc", 4) + "\",";
+        assertTrue(body.startsWith(output), body);
     }
 
     @Test
