Test single steps of adoption and of the watch

Cause: the swarm shows that nothing goes back; it does not show which step handles a damaged part, a silent peer or a store that answers at once. Change: ten steps tested one by one, two of them with two faults at once.

--- a/core/src/test/java/org/sequoiaspindle/core/fake/FakeStore.java
+++ b/core/src/test/java/org/sequoiaspindle/core/fake/FakeStore.java
@@ -85,6 +85,15 @@
         return apply(command, new CompletableFuture<>(), false);
     }
 
+    /** Sets the value of a key at once and without faults. */
+    public void put(String key, String text) {
+        long version =
+                direct(new StoreCommand.Read(key)) instanceof StoreResult.Found found
+                        ? found.version()
+                        : StoreCommand.ABSENT;
+        direct(new StoreCommand.CompareAndSwap(key, version, StoreValue.ofText(text)));
+    }
+
     @Override
     public CompletionStage<StoreResult> execute(StoreCommand command) {
         calls++;
--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/publication/ConfigurationFollowerTest.java
@@ -0,0 +1,243 @@
+package org.sequoiaspindle.core.protocol.publication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.collection.Map;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.common.EventLog;
+import org.sequoiaspindle.core.common.LogEvent;
+import org.sequoiaspindle.core.coordination.configuration.Problem;
+import org.sequoiaspindle.core.fake.FakeSets;
+import org.sequoiaspindle.core.fake.FakeStore;
+import org.sequoiaspindle.core.fake.VirtualTime;
+import org.sequoiaspindle.core.protocol.store.Store;
+import org.sequoiaspindle.core.protocol.store.StoreCommand;
+import org.sequoiaspindle.core.state.ObjectSet;
+import org.sequoiaspindle.core.state.SnapshotHolder;
+
+/** Guards single steps of adoption and of the watch. */
+final class ConfigurationFollowerTest {
+    private static final PartSource SILENT = digests -> new CompletableFuture<>();
+    private static final long BUDGET_MS = 8_000;
+
+    private final Random random = new Random(1);
+    private final VirtualTime time = new VirtualTime(0, random);
+    private final FakeStore store = new FakeStore(time, random);
+    private final FakeSets sets = new FakeSets();
+    private final SnapshotHolder holder = new SnapshotHolder();
+    private final AtomicBoolean watching = new AtomicBoolean();
+    private final List<LogEvent> logged = new ArrayList<>();
+    private final List<HeldConfiguration> announced = new ArrayList<>();
+    private final EventLog events = (event, fields) -> logged.add(event);
+    private final ConfigurationFollower follower = follower(store, sets.functions());
+
+    @Test
+    void damagedPartsOfAPeerAreReplacedByThoseOfTheStore() {
+        Head head = publish(1);
+        PartSource damaged =
+                digests ->
+                        CompletableFuture.completedStage(
+                                Either.right(texts(1).mapValues(text -> text + " ")));
+        follower.offer(head, damaged);
+        time.advance(BUDGET_MS);
+        assertEquals(1, FakeSets.slots(holder.current().objects()));
+        assertEquals(texts(1), follower.held().parts());
+        assertEquals(1, announced.size());
+    }
+
+    @Test
+    void silentPeerDuringAnOutageIsOvercomeByTheNextOffer() {
+        Head head = publish(1);
+        store.outage(true);
+        follower.offer(head, SILENT);
+        time.advance(BUDGET_MS);
+        assertTrue(holder.current().isNone());
+        follower.offer(head, peer(1));
+        time.advance(BUDGET_MS);
+        assertEquals(1, holder.current().generation());
+    }
+
+    @Test
+    void newerHeadDoesNotWaitForTheFetchOfAnOlderOne() {
+        Head older = publish(1);
+        Head newer = publish(2);
+        store.outage(true);
+        follower.offer(older, SILENT);
+        follower.offer(newer, peer(2));
+        assertEquals(2, holder.current().generation());
+        time.advance(BUDGET_MS);
+        assertEquals(2, holder.current().generation());
+    }
+
+    @Test
+    void offersOfOneGenerationShareOneFetch() {
+        Head head = publish(1);
+        List<Vector<String>> fetches = new ArrayList<>();
+        CompletableFuture<Either<String, Map<String, String>>> answer = new CompletableFuture<>();
+        PartSource source =
+                digests -> {
+                    fetches.add(digests);
+                    return answer;
+                };
+        follower.offer(head, source);
+        follower.offer(head, source);
+        follower.offer(head, source);
+        answer.complete(Either.right(texts(1)));
+        assertEquals(1, fetches.size());
+        assertEquals(1, holder.current().generation());
+    }
+
+    @Test
+    void onlyChangedPartsAreFetched() {
+        follower.offer(publish(1), peer(1));
+        Head second = publish(2);
+        List<Vector<String>> fetches = new ArrayList<>();
+        follower.offer(
+                second,
+                digests -> {
+                    fetches.add(digests);
+                    return peer(2).fetch(digests);
+                });
+        assertEquals(2, holder.current().generation());
+        assertEquals(1, fetches.get(0).size());
+    }
+
+    @Test
+    void inconsistentSetIsNotAdoptedAndNotFetchedAgain() {
+        Problem problem = new Problem("code", "stages", "s", "field", "message");
+        ObjectSetFunctions refusing =
+                new ObjectSetFunctions(
+                        sets.functions().writer(),
+                        sets.functions().reader(),
+                        set -> Vector.of(problem));
+        Head head = publish(1);
+        ConfigurationFollower strict = follower(store, refusing);
+        strict.offer(head, peer(1));
+        strict.offer(head, peer(1));
+        assertTrue(holder.current().isNone());
+        assertEquals(List.of(LogEvent.CONFIGURATION_UNREADABLE), logged);
+    }
+
+    @Test
+    void instanceThatDoesNotWatchMakesNoStoreCallOnceItIsConfigured() {
+        publish(1);
+        follower.start();
+        time.advance(BUDGET_MS);
+        assertEquals(1, holder.current().generation());
+        long calls = store.calls();
+        publish(2);
+        time.advance(BUDGET_MS);
+        assertEquals(calls, store.calls());
+        watching.set(true);
+        time.advance(BUDGET_MS);
+        assertEquals(2, holder.current().generation());
+    }
+
+    @Test
+    void restingWatchCostsOneCallForEachWait() {
+        publish(1);
+        watching.set(true);
+        follower.start();
+        time.advance(BUDGET_MS);
+        long calls = store.calls();
+        time.advance(100 * HeadWatch.WATCH_WAIT_MS);
+        assertTrue(store.calls() - calls <= 100, () -> store.calls() + " calls");
+    }
+
+    @Test
+    void frozenStoreIsReportedAsSilentAndFollowedAgainAfterItThaws() {
+        publish(1);
+        watching.set(true);
+        follower.start();
+        time.advance(BUDGET_MS);
+        store.freeze(true);
+        time.advance(BUDGET_MS);
+        publish(2);
+        store.freeze(false);
+        time.advance(BUDGET_MS);
+        assertEquals(2, holder.current().generation());
+        assertTrue(logged.contains(LogEvent.WATCH_SILENT));
+        assertEquals(1, count(LogEvent.STORE_UNAVAILABLE));
+        assertEquals(1, count(LogEvent.STORE_RECOVERED));
+    }
+
+    @Test
+    void storeThatAnswersWatchesAtOnceWithAnOldHeadIsNotCalledInALoop() {
+        Head old = publish(1);
+        List<StoreCommand> calls = new ArrayList<>();
+        Store reverting =
+                command -> {
+                    calls.add(command);
+                    return command instanceof StoreCommand.Read
+                            ? store.execute(command)
+                            : CompletableFuture.completedStage(store.direct(readHead()));
+                };
+        ConfigurationFollower reverted = follower(reverting, sets.functions());
+        watching.set(true);
+        reverted.start();
+        time.advance(BUDGET_MS);
+        reverted.offer(publishAside(2), peer(2));
+        int before = calls.size();
+        time.advance(20_000);
+        assertEquals(2, holder.current().generation());
+        assertEquals(1, old.generation());
+        assertTrue(calls.size() - before <= 100, () -> calls.size() + " calls");
+    }
+
+    private static StoreCommand readHead() {
+        return new StoreCommand.Read(ConfigurationKeys.HEAD);
+    }
+
+    private long count(LogEvent event) {
+        return logged.stream().filter(event::equals).count();
+    }
+
+    private ConfigurationFollower follower(Store used, ObjectSetFunctions functions) {
+        return new ConfigurationFollower(
+                used,
+                time,
+                time::now,
+                random::nextDouble,
+                watching::get,
+                functions,
+                holder,
+                announced::add,
+                events);
+    }
+
+    private Map<String, String> texts(int generation) {
+        return parts(generation).texts();
+    }
+
+    private ConfigurationParts parts(int generation) {
+        ObjectSet set = FakeSets.withSlots(generation);
+        return ConfigurationParts.split(set, sets.functions().writer());
+    }
+
+    private PartSource peer(int generation) {
+        return digests ->
+                CompletableFuture.completedStage(
+                        Either.right(texts(generation).filterKeys(digests::contains)));
+    }
+
+    private Head publishAside(int generation) {
+        return new Head(
+                generation, "s", "operator", 0, Vector.empty(), parts(generation).references());
+    }
+
+    private Head publish(int generation) {
+        Head head = publishAside(generation);
+        texts(generation)
+                .forEach((digest, text) -> store.put(ConfigurationKeys.part(digest), text));
+        store.put(ConfigurationKeys.HEAD, HeadWriter.write(head));
+        return head;
+    }
+}
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/publication/FollowerSwarm.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/publication/FollowerSwarm.java
@@ -18,9 +18,6 @@
 import org.sequoiaspindle.core.fake.VirtualTime;
 import org.sequoiaspindle.core.protocol.store.Scheduler;
 import org.sequoiaspindle.core.protocol.store.Store;
-import org.sequoiaspindle.core.protocol.store.StoreCommand;
-import org.sequoiaspindle.core.protocol.store.StoreResult;
-import org.sequoiaspindle.core.protocol.store.StoreValue;
 import org.sequoiaspindle.core.state.ObjectSet;
 
 /**
@@ -100,18 +97,10 @@
     private void publish(int generation) {
         ConfigurationParts parts =
                 ConfigurationParts.split(FakeSets.withSlots(generation), sets.functions().writer());
-        parts.texts().forEach((digest, text) -> put(ConfigurationKeys.part(digest), text));
+        parts.texts().forEach((digest, text) -> store.put(ConfigurationKeys.part(digest), text));
         Head head = new Head(generation, "s", "operator", 0, Vector.empty(), parts.references());
         heads.add(head);
-        put(ConfigurationKeys.HEAD, HeadWriter.write(head));
-    }
-
-    private void put(String key, String text) {
-        long version =
-                store.direct(new StoreCommand.Read(key)) instanceof StoreResult.Found found
-                        ? found.version()
-                        : StoreCommand.ABSENT;
-        store.direct(new StoreCommand.CompareAndSwap(key, version, StoreValue.ofText(text)));
+        store.put(ConfigurationKeys.HEAD, HeadWriter.write(head));
     }
 
     /** Instances hear heartbeats of others and, during the faults, of any head ever published. */
