--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/claim/ClaimRulesTest.java
@@ -0,0 +1,73 @@
+package org.sequoiaspindle.core.coordination.claim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.state.Outcome;
+
+/** Guards the limits of keys and of recorded answers. */
+final class ClaimRulesTest {
+    private static final long NOW = 1_800_000_000_000L;
+
+    @Test
+    void keysAreUsableFromOneHourAheadToTwentyThreeHoursOld() {
+        assertEquals(KeyStanding.MALFORMED, standing(NOW + KeyRule.MAX_AHEAD_MS + 1));
+        assertEquals(KeyStanding.USABLE, standing(NOW + KeyRule.MAX_AHEAD_MS));
+        assertEquals(KeyStanding.USABLE, standing(NOW - KeyRule.MAX_AGE_MS));
+        assertEquals(KeyStanding.EXPIRED, standing(NOW - KeyRule.MAX_AGE_MS - 1));
+        assertEquals(KeyStanding.EXPIRED, standing(0));
+    }
+
+    @Test
+    void keysOfAnotherFormAreMalformed() {
+        for (String key :
+                new String[] {
+                    "",
+                    "-",
+                    "-r",
+                    NOW + "",
+                    NOW + "-",
+                    "+" + NOW + "-r",
+                    " " + NOW + "-r",
+                    "9".repeat(19) + "-r",
+                    "٣-r",
+                    NOW + "-" + "r".repeat(200)
+                }) {
+            assertEquals(KeyStanding.MALFORMED, KeyRule.standing(key, NOW), key);
+        }
+    }
+
+    @Property(tries = 500, seed = "1")
+    void arbitraryKeysNeverThrow(@ForAll String key) {
+        KeyRule.standing(key, NOW);
+    }
+
+    @Property(tries = 100, seed = "2")
+    void longAnswersAreCutOffBetweenCharactersAndMarked(
+            @ForAll @IntRange(min = 0, max = 5) int shift) {
+        String answer = "x".repeat(shift) + "é€😀".repeat(RecordedOutcome.MAX_ANSWER_BYTES / 9 + 1);
+        RecordedOutcome recorded = RecordedOutcome.of(Outcome.ANSWERED, answer, "");
+        int length = recorded.answer().getBytes(StandardCharsets.UTF_8).length;
+        assertFalse(recorded.whole());
+        assertTrue(answer.startsWith(recorded.answer()));
+        assertTrue(length <= RecordedOutcome.MAX_ANSWER_BYTES);
+        assertTrue(length > RecordedOutcome.MAX_ANSWER_BYTES - 4);
+    }
+
+    @Test
+    void answerOfTheLongestLengthIsWhole() {
+        String answer = "x".repeat(RecordedOutcome.MAX_ANSWER_BYTES);
+        RecordedOutcome recorded = RecordedOutcome.of(Outcome.ANSWERED, answer, "");
+        assertEquals(new RecordedOutcome(Outcome.ANSWERED, answer, true, ""), recorded);
+    }
+
+    private static KeyStanding standing(long issuedAt) {
+        return KeyRule.standing(issuedAt + "-r", NOW);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/claim/ClaimKeeperTest.java
@@ -0,0 +1,241 @@
+package org.sequoiaspindle.core.protocol.claim;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.common.EventLog;
+import org.sequoiaspindle.core.common.LogEvent;
+import org.sequoiaspindle.core.coordination.claim.RecordedOutcome;
+import org.sequoiaspindle.core.fake.FakeStore;
+import org.sequoiaspindle.core.fake.StoreFaults;
+import org.sequoiaspindle.core.fake.VirtualTime;
+import org.sequoiaspindle.core.protocol.store.Store;
+import org.sequoiaspindle.core.protocol.store.StoreCommand;
+import org.sequoiaspindle.core.state.Outcome;
+import org.sequoiaspindle.core.transport.StoreMeter;
+
+/** Guards the single results of a claim, its cost and its lease. */
+final class ClaimKeeperTest {
+    private static final long START_MS = 1_800_000_000_000L;
+    private static final long HOUR_MS = 3_600_000L;
+    private static final String KEY = START_MS + "-r";
+    private static final StoreFaults LOST_ANSWERS = new StoreFaults(0, 1, 0, 0, 0);
+    private static final RecordedOutcome ANSWER =
+            RecordedOutcome.of(Outcome.ANSWERED, "answer", "");
+
+    private final Random random = new Random(1);
+    private final VirtualTime time = new VirtualTime(START_MS, random);
+    private final FakeStore store = new FakeStore(time, random);
+    private final StoreMeter meter = new StoreMeter(store);
+    private final List<LogEvent> logged = new ArrayList<>();
+    private final EventLog events = (event, fields) -> logged.add(event);
+    private final AtomicLong nonce = new AtomicLong();
+    private final ClaimKeeper keeper = keeper(meter);
+
+    @Test
+    void finishedClaimIsReplayedByAnotherInstance() {
+        assertTrue(await(keeper.finish(granted(), ANSWER)));
+        assertEquals(
+                new ClaimResult.Replay(ANSWER),
+                await(keeper(store).claim("organisation", KEY, "digest")));
+    }
+
+    @Test
+    void unfinishedClaimIsInUseAndNeverTakenOver() {
+        granted();
+        time.advance(22 * HOUR_MS);
+        assertEquals(new ClaimResult.InUse(), claim());
+    }
+
+    @Test
+    void otherRequestUnderAUsedKeyIsRefused() {
+        granted();
+        assertEquals(
+                new ClaimResult.DigestMismatch(),
+                await(keeper.claim("organisation", KEY, "other")));
+    }
+
+    @Test
+    void sameKeyOfAnotherOrganisationIsAnotherKey() {
+        granted();
+        assertInstanceOf(ClaimResult.Granted.class, await(keeper.claim("other", KEY, "digest")));
+    }
+
+    @Test
+    void releasedKeyMayBeClaimedAgain() {
+        assertTrue(await(keeper.release(granted())));
+        granted();
+    }
+
+    @Test
+    void keyedCallCostsTwoWritesAndNoRead() {
+        granted();
+        StoreMeter.Count before = meter.count();
+        ClaimResult second = await(keeper.claim("organisation", START_MS + "-s", "digest"));
+        await(keeper.finish(((ClaimResult.Granted) second).handle(), ANSWER));
+        assertEquals(2, meter.count().swaps() - before.swaps());
+        assertEquals(2, meter.count().total() - before.total());
+    }
+
+    @Test
+    void lostAcknowledgementIsReadBackAndTheClaimIsHeld() {
+        keeper.claim("organisation", START_MS + "-first", "digest");
+        time.advance(HOUR_MS / 2);
+        store.faults(LOST_ANSWERS);
+        CompletionStage<ClaimResult> claim = keeper.claim("organisation", KEY, "digest");
+        store.faults(StoreFaults.NONE);
+        assertInstanceOf(ClaimResult.Granted.class, await(claim));
+    }
+
+    @Test
+    void lostAcknowledgementDuringAnOutageIsNotRunAndLaterRepeatsAreUnknown() {
+        keeper.claim("organisation", START_MS + "-first", "digest");
+        time.advance(HOUR_MS / 2);
+        store.faults(LOST_ANSWERS);
+        CompletionStage<ClaimResult> claim = keeper.claim("organisation", KEY, "digest");
+        store.outage(true);
+        assertInstanceOf(ClaimResult.StoreUnavailable.class, await(claim));
+        store.outage(false);
+        store.faults(StoreFaults.NONE);
+        assertEquals(new ClaimResult.InUse(), claim());
+    }
+
+    @Test
+    void outageAndFreezeAreNotRun() {
+        store.outage(true);
+        assertInstanceOf(ClaimResult.StoreUnavailable.class, claim());
+        store.outage(false);
+        store.freeze(true);
+        assertInstanceOf(ClaimResult.StoreUnavailable.class, claim());
+    }
+
+    @Test
+    void claimsOfOneHourShareOneLease() {
+        for (int i = 0; i < 20; i++) {
+            keeper.claim("organisation", START_MS + "-" + i, "digest");
+        }
+        time.advance(HOUR_MS - 1);
+        keeper.claim("organisation", KEY, "digest");
+        assertEquals(1, meter.count().leases());
+        time.advance(1);
+        keeper.claim("organisation", START_MS + "-next", "digest");
+        assertEquals(2, meter.count().leases());
+    }
+
+    @Test
+    void lostLeaseIsReplacedByTheNextClaim() {
+        store.outage(true);
+        claim();
+        store.outage(false);
+        assertInstanceOf(ClaimResult.Granted.class, claim());
+        assertEquals(2, meter.count().leases());
+    }
+
+    @Test
+    void claimLastsUntilItsKeyHasExpired() {
+        await(keeper.finish(granted(), ANSWER));
+        long issuedAhead = START_MS + HOUR_MS;
+        ClaimResult ahead = await(keeper.claim("organisation", issuedAhead + "-a", "digest"));
+        assertInstanceOf(ClaimResult.Granted.class, ahead);
+        time.advance(24 * HOUR_MS - 10 * 60_000);
+        assertEquals(
+                new ClaimResult.InUse(),
+                await(keeper.claim("organisation", issuedAhead + "-a", "digest")));
+        time.advance(HOUR_MS);
+        assertEquals(
+                new ClaimResult.Expired(),
+                await(keeper.claim("organisation", issuedAhead + "-a", "digest")));
+        assertEquals(new ClaimResult.Expired(), claim());
+    }
+
+    @Test
+    void outcomeIsRecordedAfterAnOutage() {
+        ClaimHandle handle = granted();
+        store.outage(true);
+        CompletionStage<Boolean> recorded = keeper.finish(handle, ANSWER);
+        time.advance(3_000);
+        store.outage(false);
+        assertTrue(await(recorded));
+        assertEquals(new ClaimResult.Replay(ANSWER), claim());
+    }
+
+    @Test
+    void outcomeWhoseAcknowledgementIsLostTwiceIsStillRecordedOnce() {
+        ClaimHandle handle = granted();
+        store.faults(LOST_ANSWERS);
+        CompletionStage<Boolean> recorded = keeper.finish(handle, ANSWER);
+        time.advance(5_000);
+        store.faults(new StoreFaults(0, 0, 0, 0, 0));
+        assertTrue(await(recorded));
+        assertEquals(2, store.values(handle.storeKey()).size());
+    }
+
+    @Test
+    void outcomeThatCannotBeRecordedIsReportedAndStaysUnknown() {
+        ClaimHandle handle = granted();
+        store.outage(true);
+        assertEquals(false, await(keeper.finish(handle, ANSWER)));
+        assertEquals(List.of(LogEvent.CLAIM_UNFINISHED), logged);
+        store.outage(false);
+        assertEquals(new ClaimResult.InUse(), claim());
+    }
+
+    @Test
+    void unreadableClaimIsInUse() {
+        store.put(ClaimKeys.of("organisation", KEY), "{}");
+        assertEquals(new ClaimResult.InUse(), claim());
+    }
+
+    @Test
+    void malformedAndExpiredKeysMakeNoStoreCall() {
+        assertEquals(new ClaimResult.Malformed(), await(keeper.claim("o", "key", "digest")));
+        assertEquals(
+                new ClaimResult.Expired(),
+                await(keeper.claim("o", START_MS - 24 * HOUR_MS + "-r", "digest")));
+        assertEquals(0, store.calls());
+    }
+
+    @Test
+    void meterCountsEachKindOfCall() {
+        meter.execute(new StoreCommand.Read("key"));
+        meter.execute(new StoreCommand.AwaitChange("key", 0, 10));
+        meter.execute(new StoreCommand.Delete("key", 1));
+        meter.execute(new StoreCommand.CreateLease(1));
+        store.outage(true);
+        meter.execute(new StoreCommand.Read("key"));
+        time.advance(HOUR_MS);
+        assertEquals(new StoreMeter.Count(2, 0, 1, 1, 1, 1), meter.count());
+    }
+
+    private ClaimKeeper keeper(Store used) {
+        return new ClaimKeeper(
+                used,
+                time,
+                time::now,
+                time::now,
+                () -> "instance-" + nonce.incrementAndGet(),
+                events);
+    }
+
+    private ClaimHandle granted() {
+        return assertInstanceOf(ClaimResult.Granted.class, claim()).handle();
+    }
+
+    private ClaimResult claim() {
+        return await(keeper.claim("organisation", KEY, "digest"));
+    }
+
+    private <T> T await(CompletionStage<T> stage) {
+        CompletableFuture<T> result = stage.toCompletableFuture();
+        time.advance(60_000);
+        return result.getNow(null);
+    }
+}
