Bound the wait for unsettled publications and claims

Cause: with a frozen store, four reads in each of four rounds kept an operator waiting for a minute, and five waits for the store kept a keyed request beyond a deadline of 11 s. The test of a lost answer under stale reads armed its faults anew at each repeated head write, so that they never ended; it passed only because of the many reads. Change: a publication is settled with one read a round, a claim is read back at most twice; the faults of that test are armed once. Tests of the history in the head, of a watcher that cannot fetch parts, and of many threads.

--- a/core/src/main/java/org/sequoiaspindle/core/protocol/claim/ClaimKeeper.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/claim/ClaimKeeper.java
@@ -25,6 +25,9 @@
  * on any instance. Thread-safe; no stage completes exceptionally.
  */
 public final class ClaimKeeper {
+    /** Reads of a claim whose write gave no answer; more would outlast most deadlines. */
+    private static final int READ_BACK_ATTEMPTS = 2;
+
     private static final int FINISH_ATTEMPTS = 8;
     private static final long FINISH_RETRY_MS = 1_000;
 
@@ -50,7 +53,7 @@
             Supplier<String> attemptIds,
             EventLog events) {
         this.store = store;
-        this.reader = new StoreReader(store, scheduler);
+        this.reader = new StoreReader(store, scheduler, READ_BACK_ATTEMPTS);
         this.scheduler = scheduler;
         this.wallClock = wallClock;
         this.attemptIds = attemptIds;
@@ -59,7 +62,8 @@
     }
 
     /**
-     * Claims a key.
+     * Claims a key. The stage may outlast the deadline of the request; a claim that is granted too
+     * late must be released.
      *
      * @param digest digest of pipeline and input
      */
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/publication/Submission.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/publication/Submission.java
@@ -21,6 +21,7 @@
     private final Store store;
     private final Scheduler scheduler;
     private final StoreReader reader;
+    private final StoreReader settlingReader;
     private final PublishRequest request;
     private final ConfigurationParts parts;
     private final long publishedAtMs;
@@ -34,6 +35,8 @@
         this.store = store;
         this.scheduler = scheduler;
         this.reader = new StoreReader(store, scheduler);
+        // Settling repeats by itself; repeated reads within would keep the operator waiting longer.
+        this.settlingReader = new StoreReader(store, scheduler, 1);
         this.request = request;
         this.parts = parts;
         this.publishedAtMs = publishedAtMs;
@@ -149,7 +152,7 @@
      */
     private CompletionStage<PublishResult> settle(
             StoreCommand swap, StoreResult swapped, int left) {
-        return StoredHead.read(reader)
+        return StoredHead.read(settlingReader)
                 .thenCompose(
                         read ->
                                 read.fold(
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/store/StoreReader.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/store/StoreReader.java
@@ -5,7 +5,7 @@
 
 /** Reads keys and repeats a read that got no answer, up to a number of attempts. */
 public final class StoreReader {
-    /** Attempts of one read. Four attempts span a brief loss of connection. */
+    /** Usual attempts of one read. Four attempts span a brief loss of connection. */
     public static final int ATTEMPTS = 4;
 
     /** Pause between two attempts, in milliseconds. */
@@ -13,15 +13,21 @@
 
     private final Store store;
     private final Scheduler scheduler;
+    private final int attempts;
 
     public StoreReader(Store store, Scheduler scheduler) {
+        this(store, scheduler, ATTEMPTS);
+    }
+
+    public StoreReader(Store store, Scheduler scheduler, int attempts) {
         this.store = store;
         this.scheduler = scheduler;
+        this.attempts = attempts;
     }
 
     /** Result of the read; {@link StoreResult.Unavailable} only after the last attempt. */
     public CompletionStage<StoreResult> read(String key) {
-        return attempt(new StoreCommand.Read(key), ATTEMPTS);
+        return attempt(new StoreCommand.Read(key), attempts);
     }
 
     private CompletionStage<StoreResult> attempt(StoreCommand.Read command, int left) {
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/claim/ClaimKeeperTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/claim/ClaimKeeperTest.java
@@ -5,10 +5,17 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
+import java.util.Queue;
 import java.util.Random;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.sequoiaspindle.core.common.EventLog;
@@ -19,6 +26,8 @@
 import org.sequoiaspindle.core.fake.VirtualTime;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.protocol.store.StoreCommand;
+import org.sequoiaspindle.core.protocol.store.StoreResult;
+import org.sequoiaspindle.core.protocol.store.StoreValue;
 import org.sequoiaspindle.core.state.Outcome;
 import org.sequoiaspindle.core.transport.StoreMeter;
 
@@ -203,6 +212,38 @@
         assertEquals(0, store.calls());
     }
 
+    @Test
+    void manyThreadsShareOneLeaseAndOneOfThemIsGrantedTheKey() throws InterruptedException {
+        ConcurrentHashMap<String, StoreValue> values = new ConcurrentHashMap<>();
+        StoreMeter counted = new StoreMeter(command -> answer(command, values));
+        ClaimKeeper shared = keeper(counted);
+        Queue<ClaimResult> results = new ConcurrentLinkedQueue<>();
+        Callable<Void> claim =
+                () -> {
+                    shared.claim("organisation", KEY, "digest").thenAccept(results::add);
+                    return null;
+                };
+        ExecutorService threads = Executors.newFixedThreadPool(4);
+        threads.invokeAll(Collections.nCopies(1_000, claim));
+        threads.shutdown();
+        assertEquals(1, counted.count().leases());
+        assertEquals(1, results.stream().filter(ClaimResult.Granted.class::isInstance).count());
+        assertEquals(999, results.stream().filter(new ClaimResult.InUse()::equals).count());
+    }
+
+    private static CompletionStage<StoreResult> answer(
+            StoreCommand command, ConcurrentHashMap<String, StoreValue> values) {
+        if (command instanceof StoreCommand.CompareAndSwap swap) {
+            boolean created = values.putIfAbsent(swap.key(), swap.value()) == null;
+            return CompletableFuture.completedStage(
+                    created ? new StoreResult.Swapped(1) : new StoreResult.Conflict(1));
+        }
+        return CompletableFuture.completedStage(
+                command instanceof StoreCommand.Read read
+                        ? new StoreResult.Found(values.get(read.key()), 1)
+                        : new StoreResult.LeaseCreated(1));
+    }
+
     @Test
     void meterCountsEachKindOfCall() {
         meter.execute(new StoreCommand.Read("key"));
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/publication/ConfigurationFollowerTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/publication/ConfigurationFollowerTest.java
@@ -7,9 +7,13 @@
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 import org.sequoiaspindle.core.common.EventLog;
@@ -20,6 +24,7 @@
 import org.sequoiaspindle.core.fake.VirtualTime;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.protocol.store.StoreCommand;
+import org.sequoiaspindle.core.protocol.store.StoreResult;
 import org.sequoiaspindle.core.state.ObjectSet;
 import org.sequoiaspindle.core.state.SnapshotHolder;
 
@@ -34,8 +39,9 @@
     private final FakeSets sets = new FakeSets();
     private final SnapshotHolder holder = new SnapshotHolder();
     private final AtomicBoolean watching = new AtomicBoolean();
-    private final List<LogEvent> logged = new ArrayList<>();
-    private final List<HeldConfiguration> announced = new ArrayList<>();
+    private final List<LogEvent> logged = Collections.synchronizedList(new ArrayList<>());
+    private final List<HeldConfiguration> announced =
+            Collections.synchronizedList(new ArrayList<>());
     private final EventLog events = (event, fields) -> logged.add(event);
     private final ConfigurationFollower follower = follower(store, sets.functions());
 
@@ -141,6 +147,48 @@
         assertEquals(2, holder.current().generation());
     }
 
+    @Test
+    void watcherThatCouldNotFetchThePartsTriesAgain() {
+        publish(1);
+        AtomicBoolean partsAvailable = new AtomicBoolean();
+        Store partial =
+                command ->
+                        command instanceof StoreCommand.Read && !partsAvailable.get()
+                                ? CompletableFuture.completedStage(
+                                        new StoreResult.Unavailable("no read"))
+                                : store.execute(command);
+        watching.set(true);
+        follower(partial, sets.functions()).start();
+        time.advance(BUDGET_MS);
+        assertTrue(holder.current().isNone());
+        partsAvailable.set(true);
+        time.advance(BUDGET_MS);
+        assertEquals(1, holder.current().generation());
+    }
+
+    @Test
+    void offersOfManyThreadsEndWithTheNewestGeneration() throws InterruptedException {
+        ObjectSetFunctions empty =
+                new ObjectSetFunctions(
+                        set -> "", text -> Either.right(ObjectSet.empty()), set -> Vector.empty());
+        ConfigurationFollower shared = follower(store, empty);
+        List<Callable<Void>> offers = new ArrayList<>();
+        for (int i = 1; i <= 2_000; i++) {
+            Head head = new Head(i, "s", "operator", 0, Vector.empty(), Vector.empty());
+            offers.add(
+                    () -> {
+                        shared.offer(head, SILENT);
+                        return null;
+                    });
+        }
+        Collections.shuffle(offers, random);
+        ExecutorService threads = Executors.newFixedThreadPool(4);
+        threads.invokeAll(offers);
+        threads.shutdown();
+        assertEquals(2_000, holder.current().generation());
+        assertEquals(2_000, shared.held().head().get().generation());
+    }
+
     @Test
     void restingWatchCostsOneCallForEachWait() {
         publish(1);
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/publication/StorePublisherTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/publication/StorePublisherTest.java
@@ -7,6 +7,7 @@
 import io.vavr.collection.Vector;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.coordination.configuration.Problem;
@@ -125,9 +126,10 @@
     @Test
     void lostAnswerUnderStaleReadsIsSettledByALaterRead() {
         publish("a", 0);
+        AtomicBoolean first = new AtomicBoolean(true);
         Store failing =
                 command -> {
-                    if (isHeadWrite(command)) {
+                    if (isHeadWrite(command) && first.getAndSet(false)) {
                         store.faults(new StoreFaults(0, 1, 0, 0, 1));
                         time.schedule(6_000, () -> store.faults(StoreFaults.NONE));
                     }
