Check instance addresses by the rule of endpoint addresses

Cause: the tool accepted texts such as [::::]:1 as an instance and then ended with a stack trace. Change: AddressForm holds the rule; FormCheck and ConnectionOptions use it. The help names the time that request adds to the limit of silence.

--- a/cli/src/main/java/org/sequoiaspindle/cli/transport/ConnectionOptions.java
+++ b/cli/src/main/java/org/sequoiaspindle/cli/transport/ConnectionOptions.java
@@ -10,6 +10,7 @@
 import org.sequoiaspindle.cli.protocol.InstanceSession;
 import org.sequoiaspindle.cli.protocol.SetFile;
 import org.sequoiaspindle.cli.state.Credential;
+import org.sequoiaspindle.core.coordination.configuration.AddressForm;
 import org.sequoiaspindle.core.coordination.configuration.ObjectNames;
 
 /** Options of the commands that ask an instance. */
@@ -19,9 +20,6 @@
 
     static final int DEFAULT_TIMEOUT_MS = 10_000;
 
-    private static final int MAX_PORT = 65_535;
-    private static final Pattern INSTANCE = Pattern.compile("([0-9.]+|\\[[0-9a-fA-F:.]+]):[0-9]+");
-
     /** What an HTTP header carries unchanged; also excludes line breaks. */
     private static final Pattern SECRET = Pattern.compile("[\\x21-\\x7e]{1,512}");
 
@@ -57,7 +55,7 @@
                                 "timeout-ms",
                                 "longest silence of an instance in milliseconds (default "
                                         + DEFAULT_TIMEOUT_MS
-                                        + ", to which request adds its deadline)")
+                                        + ", to which request adds its deadline or else 1 h)")
                         .withRequiredArg()
                         .ofType(Integer.class)
                         .describedAs("ms");
@@ -93,8 +91,8 @@
         if (addresses.isEmpty()) {
             return Either.left("--instance is missing; give the ip:port of an entry instance");
         }
-        if (!addresses.forAll(ConnectionOptions::isAddress)) {
-            return Either.left("--instance must be <ip>:<port>, such as 10.0.0.7:8080");
+        if (!addresses.forAll(AddressForm::isWellFormed)) {
+            return Either.left("--instance must be " + AddressForm.RULE);
         }
         if (limit < 1) {
             return Either.left("--timeout-ms must be at least 1");
@@ -130,12 +128,4 @@
                                 .formatted(SECRET_VARIABLE))
                 : Either.right(variable);
     }
-
-    private static boolean isAddress(String text) {
-        if (!INSTANCE.matcher(text).matches()) {
-            return false;
-        }
-        String port = text.substring(text.lastIndexOf(':') + 1);
-        return port.length() <= 5 && Integer.parseInt(port) <= MAX_PORT;
-    }
 }
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/configuration/FormCheck.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/configuration/FormCheck.java
@@ -3,7 +3,6 @@
 import io.vavr.collection.Vector;
 import java.util.function.Function;
 import java.util.function.Predicate;
-import java.util.regex.Pattern;
 import org.sequoiaspindle.core.state.Endpoint;
 import org.sequoiaspindle.core.state.NamedObject;
 import org.sequoiaspindle.core.state.ObjectSet;
@@ -14,11 +13,6 @@
 /** Finds addresses and secret hashes that are not well formed. */
 final class FormCheck {
 
-    private static final int MAX_PORT = 65_535;
-    private static final String OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])";
-    private static final Pattern ADDRESS =
-            Pattern.compile("(" + OCTET + "\\.){3}" + OCTET + ":(?<port>[1-9][0-9]{0,4})");
-
     // The value is not shown, because a secret may have been written in place of its hash.
     private static final String HASH_MESSAGE =
             "is not of the form sha256:<salt hex>:<digest hex>; make one with"
@@ -31,11 +25,11 @@
                             ObjectKind.ENDPOINTS,
                             "address",
                             Endpoint::address,
-                            FormCheck::isAddress,
+                            AddressForm::isWellFormed,
                             text ->
                                     ObjectNames.quoted(text)
-                                            + " is not an address; use <IPv4 address>:<port>,"
-                                            + " such as 10.0.0.7:8080"),
+                                            + " is not an address; use "
+                                            + AddressForm.RULE),
                     new Form<>(
                             "malformed-secret-hash",
                             ObjectKind.ORGANISATIONS,
@@ -57,11 +51,6 @@
         return FORMS.flatMap(form -> form.violations(set));
     }
 
-    private static boolean isAddress(String text) {
-        var matcher = ADDRESS.matcher(text);
-        return matcher.matches() && Integer.parseInt(matcher.group("port")) <= MAX_PORT;
-    }
-
     private record Form<T extends NamedObject>(
             String code,
             ObjectKind<T> kind,
