--- a/cli/src/main/java/org/sequoiaspindle/cli/protocol/PublishCommand.java
+++ b/cli/src/main/java/org/sequoiaspindle/cli/protocol/PublishCommand.java
@@ -64,7 +64,18 @@
             }
             progress = progress.after(report(reply, arguments.submission()));
         }
-        return Either.right(progress.settled().get());
+        PublishReport settled = progress.settled().get();
+        return Either.right(arguments.dryRun() ? ofDryRun(settled) : settled);
+    }
+
+    /** A dry run publishes nothing, also if its result got lost. */
+    private static PublishReport ofDryRun(PublishReport report) {
+        return report.result() == Result.UNKNOWN
+                ? PublishReport.of(
+                        Result.NOT_RUN,
+                        report.submission(),
+                        "the check gave no result: " + report.reason())
+                : report;
     }
 
     private static PublishReport report(InstanceReply reply, String submission) {
--- a/cli/src/main/java/org/sequoiaspindle/cli/protocol/ReadFailure.java
+++ b/cli/src/main/java/org/sequoiaspindle/cli/protocol/ReadFailure.java
@@ -52,7 +52,7 @@
         String advice =
                 switch (reply.status()) {
                     case 401, 403 -> "; check the name and the secret";
-                    case 404 -> "; check the name";
+                    case 404 -> "; check the name of the pipeline and --instance";
                     case 503 -> "; the instance is not ready, try another or wait";
                     default -> "";
                 };
--- a/cli/src/test/java/org/sequoiaspindle/cli/transport/PublishTest.java
+++ b/cli/src/test/java/org/sequoiaspindle/cli/transport/PublishTest.java
@@ -88,6 +88,23 @@
         }
     }
 
+    @Test
+    void dryRunWithoutAResultIsNotReportedAsPerhapsPublished() {
+        try (FakeInstance instance = FakeInstance.answering(FakeInstance.json(200, UNKNOWN))) {
+            CliRun run =
+                    CliRun.of(
+                            "publish",
+                            EXAMPLE,
+                            "--base=7",
+                            "--dry-run",
+                            "--operator=ops",
+                            "--instance=" + instance.address());
+
+            assertEquals(ExitCode.NOT_RUN, run.exit(), run.all());
+            assertTrue(instance.received().head().uri().endsWith("&dryRun=true"));
+        }
+    }
+
     @Test
     void conflictWithOurOwnSubmissionCountsAsPublished() {
         String ours =
