Tell operators what to do about a refused credential

Cause: the front end answers a wrong credential with a notRun report whose reason speaks of an HTTP header, which the tool's users do not write. Change: publish gives its own advice for status 401; other refusals show the reason out of the answer instead of its JSON.

--- a/cli/src/main/java/org/sequoiaspindle/cli/protocol/PublishCommand.java
+++ b/cli/src/main/java/org/sequoiaspindle/cli/protocol/PublishCommand.java
@@ -17,6 +17,8 @@
 /** Publishes a file and repeats under the same submission id while the result is unknown. */
 public final class PublishCommand {
 
+    private static final int UNAUTHENTICATED = 401;
+
     private PublishCommand() {}
 
     /**
@@ -80,8 +82,10 @@
 
     private static PublishReport report(InstanceReply reply, String submission) {
         if (reply instanceof Replied replied) {
-            return ReplyReader.publication(replied.body())
-                    .getOrElse(() -> unreadable(replied, submission));
+            return replied.status() == UNAUTHENTICATED
+                    ? withoutReport(replied, submission)
+                    : ReplyReader.publication(replied.body())
+                            .getOrElse(() -> withoutReport(replied, submission));
         }
         return reply instanceof Broken broken
                 ? PublishReport.of(Result.UNKNOWN, submission, broken.reason())
@@ -89,7 +93,7 @@
     }
 
     /** A client error is given before anything is written; other statuses leave it open. */
-    private static PublishReport unreadable(Replied reply, String submission) {
+    private static PublishReport withoutReport(Replied reply, String submission) {
         boolean refused = reply.status() >= 400 && reply.status() < 500;
         return PublishReport.of(
                 refused ? Result.NOT_RUN : Result.UNKNOWN, submission, ReadFailure.refusal(reply));
--- a/cli/src/main/java/org/sequoiaspindle/cli/protocol/ReadFailure.java
+++ b/cli/src/main/java/org/sequoiaspindle/cli/protocol/ReadFailure.java
@@ -68,13 +68,11 @@
     }
 
     private static String shown(String body) {
-        if (body.isBlank()) {
-            return "";
-        }
-        String text =
-                body.length() <= MAX_SHOWN_CHARACTERS
-                        ? body
-                        : body.substring(0, MAX_SHOWN_CHARACTERS);
-        return ": " + ObjectNames.printable(text.strip());
+        String said = ReplyReader.reason(body).getOrElse(body).strip();
+        String cut =
+                said.length() <= MAX_SHOWN_CHARACTERS
+                        ? said
+                        : said.substring(0, MAX_SHOWN_CHARACTERS) + "...";
+        return cut.isEmpty() ? "" : " (" + ObjectNames.printable(cut) + ")";
     }
 }
--- a/cli/src/main/java/org/sequoiaspindle/cli/protocol/ReplyReader.java
+++ b/cli/src/main/java/org/sequoiaspindle/cli/protocol/ReplyReader.java
@@ -101,6 +101,15 @@
                                         json.path("text").asText()));
     }
 
+    /** Why an instance refused a request, if its answer says so. */
+    static Option<String> reason(String body) {
+        return object(body)
+                .flatMap(
+                        json ->
+                                Option.of(json.path("reason").textValue())
+                                        .filter(text -> !text.isEmpty()));
+    }
+
     private static Option<JsonNode> object(String body) {
         try {
             return Option.of(MAPPER.readTree(body)).filter(JsonNode::isObject);
--- a/cli/src/test/java/org/sequoiaspindle/cli/transport/PublishTest.java
+++ b/cli/src/test/java/org/sequoiaspindle/cli/transport/PublishTest.java
@@ -119,7 +119,8 @@
 
     @Test
     void wrongCredentialIsReportedAsNotRun() {
-        try (FakeInstance instance = FakeInstance.answering(FakeInstance.json(401, "{}"))) {
+        String body = "{\"result\":\"notRun\",\"reason\":\"send a credential\"}";
+        try (FakeInstance instance = FakeInstance.answering(FakeInstance.json(401, body))) {
             CliRun run = publish(EXAMPLE, instance);
 
             assertEquals(ExitCode.NOT_RUN, run.exit(), run.all());
