--- a/cli/src/test/java/org/sequoiaspindle/cli/transport/PublishTest.java
+++ b/cli/src/test/java/org/sequoiaspindle/cli/transport/PublishTest.java
@@ -88,6 +88,23 @@
         }
     }
 
+    @Test
+    void dryRunWithoutAResultIsNotReportedAsPerhapsPublished() {
+        try (FakeInstance instance = FakeInstance.answering(FakeInstance.json(200, UNKNOWN))) {
+            CliRun run =
+                    CliRun.of(
+                            "publish",
+                            EXAMPLE,
+                            "--base=7",
+                            "--dry-run",
+                            "--operator=ops",
+                            "--instance=" + instance.address());
+
+            assertEquals(ExitCode.NOT_RUN, run.exit(), run.all());
+            assertTrue(instance.received().head().uri().endsWith("&dryRun=true"));
+        }
+    }
+
     @Test
     void conflictWithOurOwnSubmissionCountsAsPublished() {
         String ours =
@@ -102,7 +119,8 @@
 
     @Test
     void wrongCredentialIsReportedAsNotRun() {
-        try (FakeInstance instance = FakeInstance.answering(FakeInstance.json(401, "{}"))) {
+        String body = "{\"result\":\"notRun\",\"reason\":\"send a credential\"}";
+        try (FakeInstance instance = FakeInstance.answering(FakeInstance.json(401, body))) {
             CliRun run = publish(EXAMPLE, instance);
 
             assertEquals(ExitCode.NOT_RUN, run.exit(), run.all());
