--- a/core/src/test/java/org/sequoiaspindle/core/protocol/claim/ClaimKeeperTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/claim/ClaimKeeperTest.java
@@ -5,12 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
-<<<<<<< HEAD
-import java.util.List;
-import java.util.Random;
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
-=======
 import java.util.Collections;
 import java.util.List;
 import java.util.Queue;
@@ -22,7 +16,6 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
->>>>>>> coord
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 import org.sequoiaspindle.core.common.EventLog;
@@ -33,11 +26,8 @@
 import org.sequoiaspindle.core.fake.VirtualTime;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.protocol.store.StoreCommand;
-<<<<<<< HEAD
-=======
 import org.sequoiaspindle.core.protocol.store.StoreResult;
 import org.sequoiaspindle.core.protocol.store.StoreValue;
->>>>>>> coord
 import org.sequoiaspindle.core.state.Outcome;
 import org.sequoiaspindle.core.transport.StoreMeter;
 
@@ -223,8 +213,6 @@
     }
 
     @Test
-<<<<<<< HEAD
-=======
     void manyThreadsShareOneLeaseAndOneOfThemIsGrantedTheKey() throws InterruptedException {
         ConcurrentHashMap<String, StoreValue> values = new ConcurrentHashMap<>();
         StoreMeter counted = new StoreMeter(command -> answer(command, values));
@@ -257,7 +245,6 @@
     }
 
     @Test
->>>>>>> coord
     void meterCountsEachKindOfCall() {
         meter.execute(new StoreCommand.Read("key"));
         meter.execute(new StoreCommand.AwaitChange("key", 0, 10));
