--- /dev/null
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/protocol/caller/CallerRequestReaderTest.java
@@ -0,0 +1,63 @@
+package org.sequoiaspindle.daemon.protocol.caller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.nio.charset.StandardCharsets;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.protocol.request.CallerRequest;
+
+/** Guards against input that raises exceptions or reaches the handler half read. */
+final class CallerRequestReaderTest {
+
+    private static final byte[] BODY =
+            "{\"input\":\"a\",\"maxTokens\":1}".getBytes(StandardCharsets.UTF_8);
+
+    @Property(seed = "4716", tries = 1000)
+    void anyHeaderOrBodyIsReadOrRejected(@ForAll String header, @ForAll byte[] body) {
+        read(Option.of("Bearer " + header), Option.of(header), body);
+        read(Option.of(header), Option.of(header), BODY);
+        Either<Rejection, CallerRequest> read = read(Option.of("Bearer a:b"), Option.none(), body);
+        assertTrue(read.isLeft() || read.get().maxTokens() >= 1);
+    }
+
+    @Test
+    void onlyAValidTraceContextIsPassedOn() {
+        String valid = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+        assertEquals(valid, traced(valid));
+        assertEquals("", traced(valid.toUpperCase()));
+        assertEquals("", traced(valid.replace("0af7651916cd43dd8448eb211c80319c", "0".repeat(32))));
+        assertEquals("", traced("\r\nX-Injected: 1"));
+    }
+
+    @Test
+    void requestsPrintNeitherSecretNorInput() {
+        assertFalse(
+                read(Option.of("Bearer a:hidden"), Option.none(), BODY)
+                        .toString()
+                        .contains("hidden"));
+    }
+
+    private static String traced(String header) {
+        return CallerRequestReader.read(
+                        "p",
+                        name ->
+                                name.equals("traceparent")
+                                        ? Option.of(header)
+                                        : Option.when(name.equals("Authorization"), "Bearer a:b"),
+                        BODY)
+                .get()
+                .traceParent();
+    }
+
+    private static Either<Rejection, CallerRequest> read(
+            Option<String> authorization, Option<String> others, byte[] body) {
+        return CallerRequestReader.read(
+                "p", name -> name.equals("Authorization") ? authorization : others, body);
+    }
+}
