Send tokens on the event loop of the caller's connection

Cause: Micronaut logs an exception when an event from another thread reaches a connection that has just closed. Change: the events of a stream are published on the connection's own event loop. Result: three runs of CallerControllerTest without the exception.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/caller/AnswerStream.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/caller/AnswerStream.java
@@ -14,6 +14,7 @@
 import org.sequoiaspindle.daemon.protocol.caller.AnswerWriter;
 import org.sequoiaspindle.daemon.protocol.caller.EventStreamWriter;
 import reactor.core.publisher.Sinks;
+import reactor.core.scheduler.Scheduler;
 import reactor.util.concurrent.Queues;
 
 /**
@@ -25,14 +26,22 @@
     /** Tokens that wait for a slow reader before its request is cancelled. */
     static final int MAX_BUFFERED = 1024;
 
+    /** Events handed to the event loop at once. */
+    private static final int PREFETCH = 32;
+
     private final CallerConnection connection;
     private final ByteBodyFactory bodies;
+
+    /** Micronaut fails on events that reach a closed connection from another thread. */
+    private final Scheduler eventLoop;
+
     private final Sinks.Many<ReadBuffer> events =
             Sinks.many().unicast().onBackpressureBuffer(Queues.<ReadBuffer>get(MAX_BUFFERED).get());
     private final CompletableFuture<HttpResponse<?>> response = new CompletableFuture<>();
 
     AnswerStream(ServerHttpRequest<?> request, CallerConnection connection) {
         this.connection = connection;
+        this.eventLoop = connection.scheduler();
         this.bodies = request.byteBodyFactory();
     }
 
@@ -75,7 +84,7 @@
             response.complete(
                     HttpResponse.status(status, "")
                             .contentType(MediaType.TEXT_EVENT_STREAM_TYPE)
-                            .body(bodies.adapt(events.asFlux())));
+                            .body(bodies.adapt(events.asFlux().publishOn(eventLoop, PREFETCH))));
         }
     }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/caller/CallerConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/caller/CallerConnection.java
@@ -5,6 +5,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
 import java.util.concurrent.atomic.AtomicBoolean;
+import reactor.core.scheduler.Scheduler;
+import reactor.core.scheduler.Schedulers;
 
 /** Tells during one request whether the caller's connection is still open. */
 final class CallerConnection {
@@ -25,6 +27,11 @@
         return connection;
     }
 
+    /** Runs tasks on the event loop of the connection. */
+    Scheduler scheduler() {
+        return Schedulers.fromExecutor(channel.eventLoop());
+    }
+
     boolean isOpen() {
         return !gone.get();
     }
