--- a/core/src/main/java/org/sequoiaspindle/core/protocol/claim/ClaimKeeper.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/claim/ClaimKeeper.java
@@ -8,12 +8,12 @@
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.common.Timer;
 import org.sequoiaspindle.core.coordination.claim.Claim;
 import org.sequoiaspindle.core.coordination.claim.ClaimVerdict;
 import org.sequoiaspindle.core.coordination.claim.KeyRule;
 import org.sequoiaspindle.core.coordination.claim.KeyStanding;
 import org.sequoiaspindle.core.coordination.claim.RecordedOutcome;
-import org.sequoiaspindle.core.protocol.store.Scheduler;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.protocol.store.StoreCommand;
 import org.sequoiaspindle.core.protocol.store.StoreReader;
@@ -33,7 +33,7 @@
 
     private final Store store;
     private final StoreReader reader;
-    private final Scheduler scheduler;
+    private final Timer timer;
     private final MillisClock wallClock;
     private final Supplier<String> attemptIds;
     private final LeaseKeeper leases;
@@ -47,14 +47,14 @@
      */
     public ClaimKeeper(
             Store store,
-            Scheduler scheduler,
+            Timer timer,
             MillisClock wallClock,
             MillisClock monotonicClock,
             Supplier<String> attemptIds,
             EventLog events) {
         this.store = store;
-        this.reader = new StoreReader(store, scheduler, READ_BACK_ATTEMPTS);
-        this.scheduler = scheduler;
+        this.reader = new StoreReader(store, timer, READ_BACK_ATTEMPTS);
+        this.timer = timer;
         this.wallClock = wallClock;
         this.attemptIds = attemptIds;
         this.leases = new LeaseKeeper(store, monotonicClock);
@@ -161,7 +161,7 @@
                                 return isStored(handle, finished);
                             }
                             return left > 1
-                                    ? scheduler.later(
+                                    ? timer.later(
                                             FINISH_RETRY_MS,
                                             () -> finish(command, handle, finished, left - 1))
                                     : CompletableFuture.completedStage(false);
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/claim/KeyedRuns.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/claim/KeyedRuns.java
@@ -5,13 +5,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.Supplier;
+import org.sequoiaspindle.core.common.Timer;
 import org.sequoiaspindle.core.coordination.claim.RecordedOutcome;
 import org.sequoiaspindle.core.protocol.publication.Sha256;
 import org.sequoiaspindle.core.protocol.request.Answer;
 import org.sequoiaspindle.core.protocol.request.ClaimGate;
 import org.sequoiaspindle.core.protocol.request.Reason;
 import org.sequoiaspindle.core.protocol.request.RequestPlan;
-import org.sequoiaspindle.core.protocol.store.Scheduler;
 import org.sequoiaspindle.core.state.Outcome;
 
 /**
@@ -24,11 +24,11 @@
     private static final long RECORDING_LIMIT_MS = 200;
 
     private final ClaimKeeper keeper;
-    private final Scheduler scheduler;
+    private final Timer timer;
 
-    public KeyedRuns(ClaimKeeper keeper, Scheduler scheduler) {
+    public KeyedRuns(ClaimKeeper keeper, Timer timer) {
         this.keeper = keeper;
-        this.scheduler = scheduler;
+        this.timer = timer;
     }
 
     @Override
@@ -50,7 +50,7 @@
         return run.get()
                 .thenCompose(
                         answer ->
-                                scheduler.limit(
+                                timer.limit(
                                         settle(plan, handle, answer).thenApply(done -> answer),
                                         RECORDING_LIMIT_MS,
                                         () -> answer));
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/publication/ConfigurationFollower.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/publication/ConfigurationFollower.java
@@ -14,8 +14,8 @@
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.common.Timer;
 import org.sequoiaspindle.core.coordination.configuration.Problem;
-import org.sequoiaspindle.core.protocol.store.Scheduler;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.state.ObjectSet;
 import org.sequoiaspindle.core.state.Snapshot;
@@ -51,7 +51,7 @@
      */
     public ConfigurationFollower(
             Store store,
-            Scheduler scheduler,
+            Timer timer,
             MillisClock clock,
             DoubleSupplier random,
             BooleanSupplier watching,
@@ -63,11 +63,11 @@
         this.functions = functions;
         this.listener = listener;
         this.events = events;
-        this.collector = new PartCollector(new StorePartSource(store, scheduler), scheduler);
+        this.collector = new PartCollector(new StorePartSource(store, timer), timer);
         this.watch =
                 new HeadWatch(
                         store,
-                        scheduler,
+                        timer,
                         clock,
                         random,
                         watching,
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/publication/HeadWatch.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/publication/HeadWatch.java
@@ -12,7 +12,7 @@
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
-import org.sequoiaspindle.core.protocol.store.Scheduler;
+import org.sequoiaspindle.core.common.Timer;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.protocol.store.StoreCommand;
 import org.sequoiaspindle.core.protocol.store.StoreReader;
@@ -38,7 +38,7 @@
 
     private final Store store;
     private final StoreReader reader;
-    private final Scheduler scheduler;
+    private final Timer timer;
     private final MillisClock clock;
     private final DoubleSupplier random;
     private final BooleanSupplier watching;
@@ -52,7 +52,7 @@
 
     HeadWatch(
             Store store,
-            Scheduler scheduler,
+            Timer timer,
             MillisClock clock,
             DoubleSupplier random,
             BooleanSupplier watching,
@@ -60,8 +60,8 @@
             Function<Head, CompletionStage<Boolean>> receiver,
             EventLog events) {
         this.store = store;
-        this.reader = new StoreReader(store, scheduler);
-        this.scheduler = scheduler;
+        this.reader = new StoreReader(store, timer);
+        this.timer = timer;
         this.clock = clock;
         this.random = random;
         this.watching = watching;
@@ -72,7 +72,7 @@
 
     void start() {
         if (started.compareAndSet(false, true)) {
-            scheduler.schedule(0, this::step);
+            timer.schedule(0, this::step);
         }
     }
 
@@ -85,13 +85,13 @@
             return;
         }
         if (watching.getAsBoolean()) {
-            watchOnce().thenAccept(delay -> scheduler.schedule(delay, this::step));
+            watchOnce().thenAccept(delay -> timer.schedule(delay, this::step));
         } else if (configured.getAsBoolean()) {
-            scheduler.schedule(RECHECK_MS, this::step);
+            timer.schedule(RECHECK_MS, this::step);
         } else {
             reader.read(ConfigurationKeys.HEAD)
                     .thenCompose(this::receive)
-                    .thenAccept(settled -> scheduler.schedule(RECHECK_MS, this::step));
+                    .thenAccept(settled -> timer.schedule(RECHECK_MS, this::step));
         }
     }
 
@@ -99,7 +99,7 @@
     private CompletionStage<Long> watchOnce() {
         long begin = clock.now();
         CompletionStage<StoreResult> answer =
-                scheduler.limit(
+                timer.limit(
                         store.execute(
                                 new StoreCommand.AwaitChange(
                                         ConfigurationKeys.HEAD, seenVersion.get(), WATCH_WAIT_MS)),
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/publication/PartCollector.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/publication/PartCollector.java
@@ -6,7 +6,7 @@
 import io.vavr.control.Either;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import org.sequoiaspindle.core.protocol.store.Scheduler;
+import org.sequoiaspindle.core.common.Timer;
 
 /**
  * Gathers the parts of a head: those held already, then those of the given source, then those of
@@ -20,11 +20,11 @@
     static final long STORE_FETCH_LIMIT_MS = 5_000;
 
     private final PartSource storeSource;
-    private final Scheduler scheduler;
+    private final Timer timer;
 
-    PartCollector(PartSource storeSource, Scheduler scheduler) {
+    PartCollector(PartSource storeSource, Timer timer) {
         this.storeSource = storeSource;
-        this.scheduler = scheduler;
+        this.timer = timer;
     }
 
     PartSource storeSource() {
@@ -51,8 +51,7 @@
         if (missing.isEmpty()) {
             return CompletableFuture.completedStage(known);
         }
-        return scheduler
-                .limit(source.fetch(missing), limitMs, () -> Either.left("no answer in time"))
+        return timer.limit(source.fetch(missing), limitMs, () -> Either.left("no answer in time"))
                 .thenApply(fetched -> known.merge(verified(missing, fetched)));
     }
 
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/publication/StorePartSource.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/publication/StorePartSource.java
@@ -9,7 +9,7 @@
 import io.vavr.control.Option;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import org.sequoiaspindle.core.protocol.store.Scheduler;
+import org.sequoiaspindle.core.common.Timer;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.protocol.store.StoreReader;
 import org.sequoiaspindle.core.protocol.store.StoreResult;
@@ -18,8 +18,8 @@
 public final class StorePartSource implements PartSource {
     private final StoreReader reader;
 
-    public StorePartSource(Store store, Scheduler scheduler) {
-        this.reader = new StoreReader(store, scheduler);
+    public StorePartSource(Store store, Timer timer) {
+        this.reader = new StoreReader(store, timer);
     }
 
     @Override
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/publication/StorePublisher.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/publication/StorePublisher.java
@@ -8,8 +8,8 @@
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.common.Timer;
 import org.sequoiaspindle.core.coordination.configuration.Problem;
-import org.sequoiaspindle.core.protocol.store.Scheduler;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.protocol.store.StoreValue;
 
@@ -21,7 +21,7 @@
  */
 public final class StorePublisher implements Publisher {
     private final Store store;
-    private final Scheduler scheduler;
+    private final Timer timer;
     private final MillisClock wallClock;
     private final ObjectSetFunctions functions;
     private final LongSupplier generationInForce;
@@ -34,13 +34,13 @@
      */
     public StorePublisher(
             Store store,
-            Scheduler scheduler,
+            Timer timer,
             MillisClock wallClock,
             ObjectSetFunctions functions,
             LongSupplier generationInForce,
             EventLog events) {
         this.store = store;
-        this.scheduler = scheduler;
+        this.timer = timer;
         this.wallClock = wallClock;
         this.functions = functions;
         this.generationInForce = generationInForce;
@@ -71,7 +71,7 @@
             return CompletableFuture.completedStage(
                     new PublishResult.Checked(generationInForce.getAsLong()));
         }
-        return new Submission(store, scheduler, request, parts, wallClock.now()).run();
+        return new Submission(store, timer, request, parts, wallClock.now()).run();
     }
 
     private static Vector<Problem> oversized(ConfigurationParts parts) {
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/publication/Submission.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/publication/Submission.java
@@ -5,8 +5,8 @@
 import io.vavr.control.Option;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import org.sequoiaspindle.core.common.Timer;
 import org.sequoiaspindle.core.protocol.publication.ConfigurationParts.Part;
-import org.sequoiaspindle.core.protocol.store.Scheduler;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.protocol.store.StoreCommand;
 import org.sequoiaspindle.core.protocol.store.StoreReader;
@@ -19,7 +19,7 @@
     private static final long RETRY_DELAY_MS = 200;
 
     private final Store store;
-    private final Scheduler scheduler;
+    private final Timer timer;
     private final StoreReader reader;
     private final StoreReader settlingReader;
     private final PublishRequest request;
@@ -28,15 +28,15 @@
 
     Submission(
             Store store,
-            Scheduler scheduler,
+            Timer timer,
             PublishRequest request,
             ConfigurationParts parts,
             long publishedAtMs) {
         this.store = store;
-        this.scheduler = scheduler;
-        this.reader = new StoreReader(store, scheduler);
+        this.timer = timer;
+        this.reader = new StoreReader(store, timer);
         // Settling repeats by itself; repeated reads within would keep the operator waiting longer.
-        this.settlingReader = new StoreReader(store, scheduler, 1);
+        this.settlingReader = new StoreReader(store, timer, 1);
         this.request = request;
         this.parts = parts;
         this.publishedAtMs = publishedAtMs;
@@ -55,7 +55,7 @@
                                     read.exists(
                                             head -> head.generation() < request.baseGeneration());
                             return stale && left > 1
-                                    ? scheduler.later(RETRY_DELAY_MS, () -> readBase(left - 1))
+                                    ? timer.later(RETRY_DELAY_MS, () -> readBase(left - 1))
                                     : CompletableFuture.completedStage(read);
                         });
     }
@@ -107,8 +107,7 @@
                                 return CompletableFuture.completedStage(Option.none());
                             }
                             return left > 1
-                                    ? scheduler.later(
-                                            RETRY_DELAY_MS, () -> writePart(part, left - 1))
+                                    ? timer.later(RETRY_DELAY_MS, () -> writePart(part, left - 1))
                                     : CompletableFuture.completedStage(
                                             Option.some(
                                                     "a part could not be written: "
@@ -186,7 +185,7 @@
         if (left <= 1) {
             return done(new PublishResult.Unknown(reason));
         }
-        return scheduler.later(
+        return timer.later(
                 RETRY_DELAY_MS,
                 () ->
                         swapped instanceof StoreResult.Unavailable
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/store/StoreReader.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/store/StoreReader.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import org.sequoiaspindle.core.common.Timer;
 
 /** Reads keys and repeats a read that got no answer, up to a number of attempts. */
 public final class StoreReader {
@@ -12,16 +13,16 @@
     public static final long RETRY_DELAY_MS = 200;
 
     private final Store store;
-    private final Scheduler scheduler;
+    private final Timer timer;
     private final int attempts;
 
-    public StoreReader(Store store, Scheduler scheduler) {
-        this(store, scheduler, ATTEMPTS);
+    public StoreReader(Store store, Timer timer) {
+        this(store, timer, ATTEMPTS);
     }
 
-    public StoreReader(Store store, Scheduler scheduler, int attempts) {
+    public StoreReader(Store store, Timer timer, int attempts) {
         this.store = store;
-        this.scheduler = scheduler;
+        this.timer = timer;
         this.attempts = attempts;
     }
 
@@ -35,7 +36,7 @@
                 .thenCompose(
                         result ->
                                 result instanceof StoreResult.Unavailable && left > 1
-                                        ? scheduler.later(
+                                        ? timer.later(
                                                 RETRY_DELAY_MS, () -> attempt(command, left - 1))
                                         : CompletableFuture.completedStage(result));
     }
--- a/core/src/test/java/org/sequoiaspindle/core/fake/FakeProcess.java
+++ b/core/src/test/java/org/sequoiaspindle/core/fake/FakeProcess.java
@@ -2,7 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import org.sequoiaspindle.core.protocol.store.Scheduler;
+import org.sequoiaspindle.core.common.Timer;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.protocol.store.StoreResult;
 
@@ -36,8 +36,8 @@
         action.run();
     }
 
-    /** Scheduler as seen by the process. */
-    public Scheduler scheduler() {
+    /** Timer as seen by the process. */
+    public Timer timer() {
         return (delay, task) -> time.schedule(delay, () -> run(task));
     }
 
--- a/core/src/test/java/org/sequoiaspindle/core/fake/FaultyEndpoints.java
+++ b/core/src/test/java/org/sequoiaspindle/core/fake/FaultyEndpoints.java
@@ -25,13 +25,13 @@
     /** Tokens of each streamed answer. */
     public static final int TOKENS = 5;
 
-    private final SimulatedTime time;
+    private final VirtualTime time;
     private final Random random;
     private final int faultPercent;
     private final Map<String, Integer> executions = new HashMap<>();
     private final List<EndpointCall> calls = new ArrayList<>();
 
-    public FaultyEndpoints(SimulatedTime time, long seed, int faultPercent) {
+    public FaultyEndpoints(VirtualTime time, long seed, int faultPercent) {
         this.time = time;
         this.random = new Random(seed);
         this.faultPercent = faultPercent;
--- a/core/src/test/java/org/sequoiaspindle/core/fake/VirtualTime.java
+++ b/core/src/test/java/org/sequoiaspindle/core/fake/VirtualTime.java
@@ -3,13 +3,15 @@
 import java.util.Comparator;
 import java.util.PriorityQueue;
 import java.util.Random;
-import org.sequoiaspindle.core.protocol.store.Scheduler;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.common.Timer;
 
 /**
- * Clock and scheduler that run on one thread and advance only when told. Tasks that are due at the
- * same time run in an order drawn from the seed.
+ * Clock and timer that run on one thread and advance only when told. Tasks that are due at the same
+ * time run in an order drawn from the seed.
  */
-public final class VirtualTime implements Scheduler {
+public final class VirtualTime implements MillisClock, Timer {
     private final Random random;
     private final PriorityQueue<Task> tasks =
             new PriorityQueue<>(Comparator.comparingLong(Task::at).thenComparingLong(Task::order));
@@ -20,15 +22,19 @@
         this.random = random;
     }
 
-    private record Task(long at, long order, Runnable action) {}
+    private record Task(long at, long order, AtomicBoolean cancelled, Runnable action) {}
 
+    @Override
     public long now() {
         return now;
     }
 
     @Override
-    public void schedule(long delayMillis, Runnable task) {
-        tasks.add(new Task(now + delayMillis, random.nextLong(), task));
+    public Runnable schedule(long delayMillis, Runnable task) {
+        AtomicBoolean cancelled = new AtomicBoolean();
+        long at = now + Math.max(0, delayMillis);
+        tasks.add(new Task(at, random.nextLong(), cancelled, task));
+        return () -> cancelled.set(true);
     }
 
     /** Runs every task that falls due within the time. */
@@ -42,8 +48,10 @@
         while (!tasks.isEmpty() && tasks.peek().at() <= end) {
             Task task = tasks.poll();
             now = Math.max(now, task.at());
-            task.action().run();
-            check.run();
+            if (!task.cancelled().get()) {
+                task.action().run();
+                check.run();
+            }
         }
         now = end;
     }
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/claim/ClaimContest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/claim/ClaimContest.java
@@ -81,7 +81,7 @@
         Claims claims =
                 maker.make(
                         process.store(store),
-                        process.scheduler(),
+                        process.timer(),
                         time::now,
                         "instance-" + processCount++);
         return new Member(process, claims);
@@ -111,7 +111,7 @@
         }
         disturb(place, member);
         member.process()
-                .scheduler()
+                .timer()
                 .schedule(random.nextInt(100), () -> execute(place, member, key, granted.handle()));
     }
 
@@ -126,7 +126,7 @@
         executed.add(outcome);
         disturb(place, member);
         member.process()
-                .scheduler()
+                .timer()
                 .schedule(random.nextInt(5_000), () -> member.claims().finish(handle, outcome));
     }
 
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/claim/Claims.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/claim/Claims.java
@@ -2,8 +2,8 @@
 
 import java.util.concurrent.CompletionStage;
 import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.common.Timer;
 import org.sequoiaspindle.core.coordination.claim.RecordedOutcome;
-import org.sequoiaspindle.core.protocol.store.Scheduler;
 import org.sequoiaspindle.core.protocol.store.Store;
 
 /** The mechanism under test: the keeper or a naive one. */
@@ -16,7 +16,7 @@
 
     /** Makes the mechanism for one process. */
     interface Maker {
-        Claims make(Store store, Scheduler scheduler, MillisClock wallClock, String instance);
+        Claims make(Store store, Timer timer, MillisClock wallClock, String instance);
     }
 
     static Claims of(ClaimKeeper keeper) {
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/publication/FollowerSwarm.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/publication/FollowerSwarm.java
@@ -11,12 +11,12 @@
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import org.sequoiaspindle.core.common.Timer;
 import org.sequoiaspindle.core.fake.FakeProcess;
 import org.sequoiaspindle.core.fake.FakeSets;
 import org.sequoiaspindle.core.fake.FakeStore;
 import org.sequoiaspindle.core.fake.StoreFaults;
 import org.sequoiaspindle.core.fake.VirtualTime;
-import org.sequoiaspindle.core.protocol.store.Scheduler;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.state.ObjectSet;
 
@@ -58,7 +58,7 @@
     interface MemberMaker {
         Member make(
                 Store store,
-                Scheduler scheduler,
+                Timer timer,
                 boolean watching,
                 ObjectSetFunctions functions,
                 Consumer<HeldConfiguration> announce);
@@ -73,7 +73,7 @@
             members.add(
                     maker.make(
                             process.store(store),
-                            process.scheduler(),
+                            process.timer(),
                             i < WATCHERS,
                             sets.functions(),
                             held -> announce(self, held)));
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/publication/NaiveFollower.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/publication/NaiveFollower.java
@@ -4,8 +4,8 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.util.concurrent.atomic.AtomicReference;
+import org.sequoiaspindle.core.common.Timer;
 import org.sequoiaspindle.core.protocol.publication.FollowerSwarm.Member;
-import org.sequoiaspindle.core.protocol.store.Scheduler;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.protocol.store.StoreCommand;
 import org.sequoiaspindle.core.protocol.store.StoreResult;
@@ -14,14 +14,14 @@
 /** Takes over whatever it hears last. */
 final class NaiveFollower implements HeadReceiver {
     private final Store store;
-    private final Scheduler scheduler;
+    private final Timer timer;
     private final ObjectSetFunctions functions;
     private final AtomicReference<HeldConfiguration> held =
             new AtomicReference<>(HeldConfiguration.none());
 
-    NaiveFollower(Store store, Scheduler scheduler, ObjectSetFunctions functions) {
+    NaiveFollower(Store store, Timer timer, ObjectSetFunctions functions) {
         this.store = store;
-        this.scheduler = scheduler;
+        this.timer = timer;
         this.functions = functions;
     }
 
@@ -43,10 +43,9 @@
                                                 head ->
                                                         offer(
                                                                 head,
-                                                                new StorePartSource(
-                                                                        store, scheduler)));
+                                                                new StorePartSource(store, timer)));
                             }
-                            scheduler.schedule(1_000, this::poll);
+                            timer.schedule(1_000, this::poll);
                         });
     }
 
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/publication/PublicationRace.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/publication/PublicationRace.java
@@ -7,12 +7,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
+import org.sequoiaspindle.core.common.Timer;
 import org.sequoiaspindle.core.fake.FakeProcess;
 import org.sequoiaspindle.core.fake.FakeSets;
 import org.sequoiaspindle.core.fake.FakeStore;
 import org.sequoiaspindle.core.fake.StoreFaults;
 import org.sequoiaspindle.core.fake.VirtualTime;
-import org.sequoiaspindle.core.protocol.store.Scheduler;
 import org.sequoiaspindle.core.protocol.store.Store;
 
 /**
@@ -39,7 +39,7 @@
 
     /** Makes the publisher under test. */
     interface PublisherMaker {
-        Publisher make(Store store, Scheduler scheduler, ObjectSetFunctions functions);
+        Publisher make(Store store, Timer timer, ObjectSetFunctions functions);
     }
 
     private record Verdict(String submission, PublishResult result) {}
@@ -50,7 +50,7 @@
         for (int operator = 0; operator < OPERATORS; operator++) {
             FakeProcess process = new FakeProcess(time);
             Publisher publisher =
-                    maker.make(process.store(store), process.scheduler(), sets.functions());
+                    maker.make(process.store(store), process.timer(), sets.functions());
             submit(publisher, operator, 0, 0);
             scheduleTrouble(process);
         }
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/request/RequestRunnerTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/request/RequestRunnerTest.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import net.jqwik.api.ForAll;
@@ -19,7 +20,7 @@
 import org.sequoiaspindle.core.coordination.routing.Groups;
 import org.sequoiaspindle.core.fake.FaultyEndpoints;
 import org.sequoiaspindle.core.fake.SampleSet;
-import org.sequoiaspindle.core.fake.SimulatedTime;
+import org.sequoiaspindle.core.fake.VirtualTime;
 import org.sequoiaspindle.core.state.Outcome;
 import org.sequoiaspindle.core.state.RequestId;
 import org.sequoiaspindle.core.state.Snapshot;
@@ -28,6 +29,7 @@
 /** Guards callers against mixed, repeated and truncated answers, and the truth of "not run". */
 final class RequestRunnerTest {
 
+    private static final long START_MS = 1_000;
     private static final String SEED = "20261204";
     private static final List<String> ORGANISATIONS = List.of("county", "drillers", "farms");
 
@@ -94,7 +96,7 @@
     /** A runner on simulated time before endpoints with faults. */
     private static final class Simulation {
 
-        private final SimulatedTime time = new SimulatedTime();
+        private final VirtualTime time = new VirtualTime(START_MS, new Random(1));
         private final FaultyEndpoints endpoints;
         private final RequestRunner runner;
         private final List<Answer> answers = new ArrayList<>();
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/wiring/ConfigurationPath.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/wiring/ConfigurationPath.java
@@ -41,7 +41,7 @@
         ConfigurationFollower follower =
                 new ConfigurationFollower(
                         store,
-                        base.timer()::schedule,
+                        base.timer(),
                         base.clock(),
                         () -> ThreadLocalRandom.current().nextDouble(),
                         watching,
@@ -52,7 +52,7 @@
         Publisher publisher =
                 new StorePublisher(
                         store,
-                        base.timer()::schedule,
+                        base.timer(),
                         MillisClock.wall(),
                         functions,
                         () -> base.snapshots().current().generation(),
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/wiring/RequestPath.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/wiring/RequestPath.java
@@ -77,16 +77,13 @@
         ClaimKeeper claims =
                 new ClaimKeeper(
                         store,
-                        base.timer()::schedule,
+                        base.timer(),
                         MillisClock.wall(),
                         base.clock(),
                         uniqueNames(base, "claim"),
                         base.events());
         return new RequestRunner(
-                base.snapshots(),
-                services,
-                new KeyedRuns(claims, base.timer()::schedule),
-                instanceShare);
+                base.snapshots(), services, new KeyedRuns(claims, base.timer()), instanceShare);
     }
 
     private static Supplier<RequestId> requestIds(Foundation base) {
