Add the conversation between instances

Instances must learn of each other, of new configurations and of leaving endpoints, and run calls for each other, over links that may be lost, silent or opened from both ends.

Transport, clock, scheduler and random numbers are handed in. Parts are fetched one frame at a time, so a link never holds more than one frame of them.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/membership/LinkRule.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/membership/LinkRule.java
@@ -20,11 +20,13 @@
         Vector<Contact> contacts = table.contacts();
         Tuple2<Vector<Contact>, Vector<Contact>> split =
                 contacts.partition(contact -> isRemote(contact, table.self().dataCentre()));
+        Set<String> unusable = table.unusableAddresses();
+        String own = table.self().instance();
         Vector<String> remote =
                 split._1
                         .groupBy(contact -> contact.dataCentre().get())
                         .values()
-                        .map(candidates -> choose(table, candidates.map(Contact::address)))
+                        .map(candidates -> choose(own, candidates.map(Contact::address), unusable))
                         .toVector();
         // Contacts of an unknown data centre are dialled to learn where they belong.
         return HashSet.ofAll(split._2.map(Contact::address)).addAll(remote);
@@ -34,9 +36,9 @@
         return contact.dataCentre().exists(dataCentre -> !dataCentre.equals(ownDataCentre));
     }
 
-    private static String choose(MembershipTable table, Vector<String> addresses) {
-        Vector<String> usable = addresses.filter(table::isUsable);
+    private static String choose(String own, Vector<String> addresses, Set<String> unusable) {
+        Vector<String> usable = addresses.reject(unusable::contains);
         Vector<String> candidates = usable.isEmpty() ? addresses : usable;
-        return Rendezvous.rank(table.self().instance(), candidates, address -> address).head();
+        return Rendezvous.rank(own, candidates, address -> address).head();
     }
 }
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/membership/MembershipTable.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/membership/MembershipTable.java
@@ -1,8 +1,10 @@
 package org.sequoiaspindle.core.coordination.membership;
 
 import io.vavr.collection.HashMap;
+import io.vavr.collection.HashSet;
 import io.vavr.collection.LinkedHashMap;
 import io.vavr.collection.Map;
+import io.vavr.collection.Set;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 
@@ -125,7 +127,9 @@
                 self,
                 configured,
                 listed,
-                peers.filterValues(peer -> !peer.isForgotten(atMillis)),
+                peers.values().exists(peer -> peer.isForgotten(atMillis))
+                        ? peers.filterValues(peer -> !peer.isForgotten(atMillis))
+                        : peers,
                 unreachableSince.filterValues(since -> atMillis - since <= UNREACHABLE_MILLIS),
                 atMillis);
     }
@@ -158,6 +162,11 @@
         return self;
     }
 
+    /** Entry instances in the platform's list as it was last taken. */
+    public Vector<Contact> listedContacts() {
+        return listed;
+    }
+
     public long nowMillis() {
         return nowMillis;
     }
@@ -182,16 +191,15 @@
                 .toVector();
     }
 
-    /** Whether a link to the address can be expected to work. */
-    public boolean isUsable(String address) {
-        if (unreachableSince.containsKey(address)) {
-            return false;
-        }
-        Option<Peer> latest =
-                peers.values()
-                        .filter(peer -> peer.address().equals(address))
-                        .maxBy(Peer::lastHeardMillis);
-        return latest.forAll(peer -> peer.isLive(nowMillis));
+    /** Addresses to which a link cannot be expected to work. */
+    public Set<String> unusableAddresses() {
+        Set<String> silent =
+                HashSet.ofAll(
+                        peers.values().filter(peer -> !peer.isLive(nowMillis)).map(Peer::address));
+        Set<String> live =
+                HashSet.ofAll(
+                        peers.values().filter(peer -> peer.isLive(nowMillis)).map(Peer::address));
+        return silent.diff(live).union(HashSet.ofAll(unreachableSince.keySet()));
     }
 
     private boolean isNews(PeerReport report) {
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/membership/PeerReport.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/membership/PeerReport.java
@@ -1,5 +1,6 @@
 package org.sequoiaspindle.core.coordination.membership;
 
+import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
 
 /**
@@ -32,6 +33,18 @@
         return sequence > other.sequence;
     }
 
+    public PeerReport withoutLoad() {
+        return new PeerReport(
+                instance,
+                dataCentre,
+                address,
+                incarnation,
+                sequence,
+                generation,
+                state,
+                HashMap.empty());
+    }
+
     boolean isSameAs(PeerReport other) {
         return incarnation == other.incarnation && sequence == other.sequence;
     }
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/peer/Fields.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/peer/Fields.java
@@ -39,10 +39,26 @@
         return new Fields(values);
     }
 
+    /** Fields that are sent as an array; values of a later version behind them are skipped. */
+    static Fields named(Object tree, String... names) throws MalformedMessageException {
+        if (!(tree instanceof List<?> list) || list.size() < names.length) {
+            throw new MalformedMessageException("an array of " + names.length + " was expected");
+        }
+        Map<String, Object> values = new LinkedHashMap<>();
+        for (int i = 0; i < names.length; i++) {
+            values.put(names[i], list.get(i));
+        }
+        return new Fields(values);
+    }
+
     Map<String, Object> values() {
         return values;
     }
 
+    Object value(String name) {
+        return values.get(name);
+    }
+
     boolean has(String name) {
         return values.get(name) != null;
     }
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/peer/HeadFields.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/peer/HeadFields.java
@@ -39,13 +39,9 @@
     }
 
     private static Head.PartReference part(Object tree) throws MalformedMessageException {
-        if (!(tree instanceof List<?> values) || values.size() < 3) {
-            throw new MalformedMessageException("part");
-        }
+        Fields fields = Fields.named(tree, "kind", "bucket", "digest");
         return new Head.PartReference(
-                Fields.text(values.get(0), "kind"),
-                Fields.integer(values.get(1), "bucket"),
-                digest(values.get(2)));
+                fields.text("kind"), fields.integer("bucket"), digest(fields.value("digest")));
     }
 
     static Vector<Object> writeDigests(Vector<String> digests) {
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/peer/PeerMessage.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/peer/PeerMessage.java
@@ -6,6 +6,7 @@
 import io.vavr.control.Option;
 import org.sequoiaspindle.core.coordination.membership.Contact;
 import org.sequoiaspindle.core.coordination.membership.PeerReport;
+import org.sequoiaspindle.core.coordination.membership.PeerState;
 import org.sequoiaspindle.core.protocol.endpoint.CallResult;
 import org.sequoiaspindle.core.protocol.endpoint.EndpointCall;
 import org.sequoiaspindle.core.protocol.endpoint.Token;
@@ -54,16 +55,23 @@
             implements PeerMessage {}
 
     /** What the sender knows of the instances of its data centre, for another data centre. */
-    record Summary(Vector<Entry> entries) implements PeerMessage {
+    record Summary(String dataCentre, Vector<Entry> entries) implements PeerMessage {
 
         /**
-         * One instance.
+         * One instance; fields as in its last heartbeat.
          *
-         * @param report its last heartbeat, without load
          * @param suspected whether the sender suspects it
          * @param ageMillis how long ago the sender heard it
          */
-        public record Entry(PeerReport report, boolean suspected, long ageMillis) {}
+        public record Entry(
+                String instance,
+                String address,
+                long incarnation,
+                long sequence,
+                long generation,
+                PeerState state,
+                boolean suspected,
+                long ageMillis) {}
     }
 
     /** Entry instances in the platform's list, passed on by a watcher to its local peers. */
@@ -82,10 +90,11 @@
     record FetchParts(long correlation, Vector<String> digests) implements PeerMessage {}
 
     /**
-     * Some of the wanted parts.
+     * Some of the wanted parts, as many as one frame holds. The asking side then asks for the rest,
+     * so that at most one frame of parts waits in the buffer of a link.
      *
      * @param parts texts by digest; parts that the sender lacks are left out
-     * @param last whether no further reply follows
+     * @param last whether the sender holds none of the parts that are left
      */
     record PartsReply(long correlation, Map<String, String> parts, boolean last)
             implements PeerMessage {}
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/peer/PeerMessageCodecs.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/peer/PeerMessageCodecs.java
@@ -34,8 +34,15 @@
                     new Codec<>(
                             4,
                             PeerMessage.Summary.class,
-                            m -> Fields.of("e", m.entries().map(ReportFields::write).asJava()),
-                            f -> new PeerMessage.Summary(f.list("e", ReportFields::entry))),
+                            m ->
+                                    Fields.of(
+                                            "dc",
+                                            m.dataCentre(),
+                                            "e",
+                                            m.entries().map(ReportFields::write).asJava()),
+                            f ->
+                                    new PeerMessage.Summary(
+                                            f.text("dc"), f.list("e", ReportFields::entry))),
                     new Codec<>(
                             5,
                             PeerMessage.Directory.class,
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/peer/PeerRuntime.java
@@ -0,0 +1,21 @@
+package org.sequoiaspindle.core.protocol.peer;
+
+import java.util.function.LongUnaryOperator;
+import java.util.function.Supplier;
+import org.sequoiaspindle.core.common.EventLog;
+import org.sequoiaspindle.core.common.MillisClock;
+
+/**
+ * Facilities that the conversation between instances runs on.
+ *
+ * @param clock monotonic clock
+ * @param random gives a random number from 0 up to the argument, exclusive; used for jitter
+ * @param nonces gives random text from a cryptographic source, 32 hexadecimal digits
+ */
+public record PeerRuntime(
+        PeerTransport transport,
+        MillisClock clock,
+        PeerScheduler scheduler,
+        LongUnaryOperator random,
+        Supplier<String> nonces,
+        EventLog log) {}
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/peer/ReportFields.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/peer/ReportFields.java
@@ -18,8 +18,6 @@
  */
 final class ReportFields {
 
-    private static final int LOAD_VALUES = 5;
-
     private ReportFields() {}
 
     static Map<String, Object> write(PeerReport report) {
@@ -59,29 +57,39 @@
     }
 
     private static Tuple2<String, GroupLoad> load(Object tree) throws MalformedMessageException {
-        if (!(tree instanceof List<?> values) || values.size() < LOAD_VALUES) {
-            throw new MalformedMessageException("load of a group");
-        }
+        Fields fields = Fields.named(tree, "g", "a", "r", "q", "s");
         return Tuple.of(
-                Fields.text(values.get(0), "group"),
+                fields.text("g"),
                 new GroupLoad(
-                        Fields.integer(values.get(1), "arrivals"),
-                        Fields.integer(values.get(2), "running"),
-                        Fields.integer(values.get(3), "queued"),
-                        Fields.integer(values.get(4), "slots")));
+                        fields.integer("a"),
+                        fields.integer("r"),
+                        fields.integer("q"),
+                        fields.integer("s")));
     }
 
-    static Map<String, Object> write(PeerMessage.Summary.Entry entry) {
-        Map<String, Object> fields = write(entry.report());
-        fields.put("sus", entry.suspected());
-        fields.put("age", entry.ageMillis());
-        return fields;
+    static List<Object> write(PeerMessage.Summary.Entry entry) {
+        return List.of(
+                entry.instance(),
+                entry.address(),
+                entry.incarnation(),
+                entry.sequence(),
+                entry.generation(),
+                entry.state().ordinal(),
+                entry.suspected(),
+                entry.ageMillis());
     }
 
     static PeerMessage.Summary.Entry entry(Object tree) throws MalformedMessageException {
-        Fields fields = Fields.read(tree);
+        Fields fields = Fields.named(tree, "i", "ad", "inc", "seq", "gen", "st", "sus", "age");
         return new PeerMessage.Summary.Entry(
-                read(fields), fields.flag("sus"), fields.number("age"));
+                fields.text("i"),
+                fields.text("ad"),
+                fields.number("inc"),
+                fields.number("seq"),
+                fields.number("gen"),
+                fields.choice("st", PeerState.class),
+                fields.flag("sus"),
+                fields.number("age"));
     }
 
     static Map<String, Object> write(Contact contact) {
--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/peer/Fleet.java
@@ -0,0 +1,158 @@
+package org.sequoiaspindle.core.protocol.peer;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.sequoiaspindle.core.common.LogEvent;
+import org.sequoiaspindle.core.coordination.membership.GroupLoad;
+import org.sequoiaspindle.core.coordination.membership.PeerState;
+import org.sequoiaspindle.core.coordination.membership.WatcherRule;
+import org.sequoiaspindle.core.protocol.endpoint.CallResult;
+import org.sequoiaspindle.core.protocol.endpoint.EndpointCaller;
+import org.sequoiaspindle.core.protocol.endpoint.EndpointExchange;
+import org.sequoiaspindle.core.protocol.publication.Head;
+import org.sequoiaspindle.core.protocol.publication.HeldConfiguration;
+import org.sequoiaspindle.core.protocol.publication.PartSource;
+
+/** Instances on a virtual network. */
+final class Fleet {
+
+    final VirtualNetwork network = new VirtualNetwork();
+    Vector<Node> nodes = Vector.empty();
+    Vector<ListedInstance> endpoints = Vector.empty();
+
+    /** Starts instances {@code dc0-0, dc0-1, ..} and links them. */
+    static Fleet of(int dataCentres, int perDataCentre) {
+        Fleet fleet = new Fleet();
+        for (int i = 0; i < dataCentres * perDataCentre; i++) {
+            fleet.start("dc" + i / perDataCentre, i % perDataCentre, "secret");
+        }
+        fleet.network.run(8_000);
+        return fleet;
+    }
+
+    Node start(String dataCentre, int number, String secret) {
+        Node node = new Node(dataCentre, dataCentre + "-" + number, secret);
+        nodes = nodes.append(node);
+        node.service.start();
+        return node;
+    }
+
+    Node node(String name) {
+        return nodes.find(node -> node.name.equals(name)).get();
+    }
+
+    Vector<Node> in(String dataCentre) {
+        return nodes.filter(node -> node.dataCentre.equals(dataCentre));
+    }
+
+    boolean allHold(long generation) {
+        return nodes.forAll(node -> node.generation() == generation);
+    }
+
+    /** One instance; its address is its name. */
+    final class Node {
+        final String dataCentre;
+        final String name;
+        final PeerService service;
+        final List<Long> adopted = new ArrayList<>();
+        final List<LogEvent> log = new ArrayList<>();
+        HeldConfiguration held = HeldConfiguration.none();
+        PeerState state = PeerState.SERVING;
+        Map<String, GroupLoad> load = HashMap.empty();
+        EndpointCaller calls =
+                (call, sink) ->
+                        new EndpointExchange(
+                                CompletableFuture.completedFuture(
+                                        new CallResult.NotSent("no endpoint")),
+                                () -> {});
+
+        private Node(String dataCentre, String name, String secret) {
+            this.dataCentre = dataCentre;
+            this.name = name;
+            this.service =
+                    new PeerService(
+                            new PeerSettings(
+                                    name,
+                                    dataCentre,
+                                    name,
+                                    network.now() + 1,
+                                    PeerSecret.of(secret),
+                                    Vector.empty()),
+                            new PeerRuntime(
+                                    network.transport(name),
+                                    network::now,
+                                    network::schedule,
+                                    bound -> network.random.nextLong(bound),
+                                    () -> Long.toHexString(network.random.nextLong()),
+                                    (event, fields) -> log.add(event)),
+                            new PeerDuties(
+                                    this::list,
+                                    () -> held,
+                                    this::offered,
+                                    (call, sink) -> calls.call(call, sink),
+                                    () -> state,
+                                    () -> load));
+            network.accept(name, service.accepting());
+        }
+
+        /** The list arrives late, so that instances that start together dial each other at once. */
+        private CompletionStage<Either<String, Vector<ListedInstance>>> list() {
+            CompletableFuture<Either<String, Vector<ListedInstance>>> result =
+                    new CompletableFuture<>();
+            network.schedule(5, () -> result.complete(Either.right(listed())));
+            return result;
+        }
+
+        private Vector<ListedInstance> listed() {
+            return nodes.map(
+                            node ->
+                                    new ListedInstance(
+                                            ListedInstance.Kind.ENTRY,
+                                            node.name,
+                                            node.dataCentre,
+                                            false))
+                    .appendAll(endpoints);
+        }
+
+        private void offered(Head head, PartSource source) {
+            Vector<String> missing =
+                    head.parts().map(Head.PartReference::digest).reject(held.parts()::containsKey);
+            source.fetch(missing)
+                    .thenAccept(parts -> parts.forEach(p -> adopt(head, held.parts().merge(p))));
+        }
+
+        /** Adopts a configuration as if from the store; older ones are ignored. */
+        void adopt(Head head, Map<String, String> parts) {
+            if (head.generation() > generation()) {
+                held = new HeldConfiguration(Option.of(head), parts);
+                adopted.add(head.generation());
+            }
+        }
+
+        void publish(long generation, Vector<String> parts) {
+            Map<String, String> byDigest =
+                    parts.toMap(text -> text.substring(0, Math.min(8, text.length())), t -> t);
+            Vector<Head.PartReference> references =
+                    byDigest.keySet()
+                            .toVector()
+                            .map(digest -> new Head.PartReference("stages", 0, digest));
+            adopt(new Head(generation, "s", "o", 0, Vector.empty(), references), byDigest);
+            service.announce(held);
+        }
+
+        long generation() {
+            return held.head().map(Head::generation).getOrElse(0L);
+        }
+
+        boolean watches() {
+            return WatcherRule.watches(service.membership().table());
+        }
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/peer/HandshakeTest.java
@@ -0,0 +1,62 @@
+package org.sequoiaspindle.core.protocol.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.collection.Vector;
+import org.junit.jupiter.api.Test;
+
+/** Guards against peers that speak without the shared secret. */
+final class HandshakeTest {
+
+    private static PeerSettings settings(String instance, String secret) {
+        return new PeerSettings(
+                instance, "dc", instance + ":1", 1, PeerSecret.of(secret), Vector.empty());
+    }
+
+    private static Handshake accepting(String nonce) {
+        return Handshake.accepting(settings("b", "secret"), nonce);
+    }
+
+    @Test
+    void bothSidesLearnWhoTheOtherIs() {
+        Handshake dialler = Handshake.dialling(settings("a", "secret"), "n1");
+        Handshake.Step hello = accepting("n2").receive(dialler.hello());
+        Handshake.Step proof = dialler.receive(hello.replies().head());
+        Handshake.Step accepted = hello.next().receive(proof.replies().head());
+        Handshake.Step finished = proof.next().receive(accepted.replies().head());
+        assertEquals("a", accepted.established().get().instance());
+        assertEquals("b", finished.established().get().instance());
+    }
+
+    @Test
+    void recordedProofIsWorthlessOnAnotherLink() {
+        Handshake dialler = Handshake.dialling(settings("a", "secret"), "n1");
+        Handshake.Step hello = accepting("n2").receive(dialler.hello());
+        PeerMessage recorded = dialler.receive(hello.replies().head()).replies().head();
+        Handshake.Step replayed = accepting("n3").receive(dialler.hello()).next().receive(recorded);
+        assertTrue(replayed.failure().isDefined());
+        assertTrue(replayed.replies().isEmpty());
+    }
+
+    @Test
+    void proofCannotBeReflectedToItsSender() {
+        Handshake dialler = Handshake.dialling(settings("a", "secret"), "n1");
+        PeerMessage hello = Handshake.accepting(settings("x", "guess"), "n1").hello();
+        Handshake.Step step = dialler.receive(hello);
+        assertTrue(step.next().receive(step.replies().head()).failure().isDefined());
+    }
+
+    @Test
+    void messageBeforeTheProofEndsTheLink() {
+        Handshake.Step hello =
+                accepting("n2").receive(Handshake.dialling(settings("a", "x"), "n1").hello());
+        assertTrue(hello.next().receive(new PeerMessage.FetchHead(1)).failure().isDefined());
+        assertTrue(accepting("n2").receive(new PeerMessage.FetchHead(1)).failure().isDefined());
+    }
+
+    @Test
+    void secretIsNotPrinted() {
+        assertTrue(!settings("a", "hidden-word").toString().contains("hidden-word"));
+    }
+}
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/peer/PeerMessages.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/peer/PeerMessages.java
@@ -41,8 +41,7 @@
                 TEXT.map(PeerMessage.HelloProof::new),
                 Combinators.combine(report(), FLAG, vector(TEXT).map(HashSet::ofAll))
                         .as(PeerMessage.Heartbeat::new),
-                vector(Combinators.combine(report(), FLAG, LONG).as(PeerMessage.Summary.Entry::new))
-                        .map(PeerMessage.Summary::new),
+                Combinators.combine(TEXT, vector(entry())).as(PeerMessage.Summary::new),
                 vector(Combinators.combine(TEXT, option(TEXT)).as(Contact::new))
                         .map(PeerMessage.Directory::new),
                 head().map(PeerMessage.Announce::new),
@@ -71,6 +70,12 @@
                 .as(PeerReport::new);
     }
 
+    private static Arbitrary<PeerMessage.Summary.Entry> entry() {
+        return Combinators.combine(
+                        TEXT, TEXT, LONG, LONG, LONG, Arbitraries.of(PeerState.class), FLAG, LONG)
+                .as(PeerMessage.Summary.Entry::new);
+    }
+
     private static Arbitrary<Head> head() {
         Arbitrary<Head.PartReference> part =
                 Combinators.combine(TEXT, INT, DIGEST).as(Head.PartReference::new);
