Add the peer link over TCP

The conversation between instances needs a transport that strangers and slow peers cannot use to exhaust an instance.

TcpPeerTransport frames messages with a 4-byte length on Netty's NIO loops. Frames before the proof of the secret are limited to 4 KiB, later ones to 2 MiB. A link whose outbound buffer passes 8 MiB is closed. Bytes are counted apart for control and forwarded calls. A failure in the periodic work of PeerService is logged, since a scheduler drops it.

--- a/core/src/main/java/org/sequoiaspindle/core/protocol/peer/PeerService.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/peer/PeerService.java
@@ -135,7 +135,16 @@
         }
         // Scheduled before the work, so that a failure in it does not end the heartbeats.
         ticking.set(Option.of(runtime.scheduler().schedule(TICK_MILLIS, this::tick)));
-        long now = runtime.clock().now();
+        try {
+            work(runtime.clock().now());
+        } catch (RuntimeException e) {
+            // A scheduler would drop the exception without a trace.
+            runtime.log().record(LogEvent.INVARIANT_BROKEN, HashMap.of("cause", String.valueOf(e)));
+            throw e;
+        }
+    }
+
+    private void work(long now) {
         passTime(now);
         long due = nextHeartbeatMillis.get();
         if (now >= due && nextHeartbeatMillis.compareAndSet(due, now + HEARTBEAT_MILLIS)) {
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/peer/PeerChannel.java
@@ -0,0 +1,157 @@
+package org.sequoiaspindle.daemon.transport.peer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
+import io.vavr.collection.HashMap;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.io.IOException;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.sequoiaspindle.core.common.EventLog;
+import org.sequoiaspindle.core.common.LogEvent;
+import org.sequoiaspindle.core.protocol.peer.LinkEvents;
+import org.sequoiaspindle.core.protocol.peer.PeerLink;
+import org.sequoiaspindle.core.protocol.peer.PeerMessage;
+import org.sequoiaspindle.core.protocol.peer.PeerMessageReader;
+import org.sequoiaspindle.core.protocol.peer.PeerMessageWriter;
+import org.sequoiaspindle.daemon.transport.peer.ByteCounter.Traffic;
+
+/** One TCP connection to a peer: frames to messages and back. A bad frame closes this one only. */
+final class PeerChannel extends SimpleChannelInboundHandler<ByteBuf> {
+
+    private static final int LENGTH_BYTES = 4;
+
+    /** Frames before the proof of the secret; bounds the memory that strangers can take. */
+    private static final int HANDSHAKE_FRAME_BYTES = 4 * 1024;
+
+    private static final String DECODER = "decoder";
+
+    private final LinkEvents events;
+    private final EventLog log;
+    private final ByteCounter sent;
+    private final ByteCounter received;
+    private final PeerLink link;
+    private final Channel channel;
+    private final AtomicBoolean rejected = new AtomicBoolean();
+
+    private PeerChannel(
+            Channel channel,
+            String remote,
+            LinkEvents events,
+            EventLog log,
+            ByteCounter sent,
+            ByteCounter received) {
+        this.channel = channel;
+        this.events = events;
+        this.log = log;
+        this.sent = sent;
+        this.received = received;
+        this.link = new PeerLink(remote, this::send, channel::close);
+    }
+
+    /** Sets up a channel before it becomes active. */
+    static void install(
+            Channel channel,
+            String remote,
+            LinkEvents events,
+            EventLog log,
+            ByteCounter sent,
+            ByteCounter received) {
+        channel.pipeline()
+                .addLast(new FlushConsolidationHandler(256, true))
+                .addLast(DECODER, decoder(HANDSHAKE_FRAME_BYTES))
+                .addLast(new PeerChannel(channel, remote, events, log, sent, received));
+    }
+
+    private static LengthFieldBasedFrameDecoder decoder(int maxFrameBytes) {
+        return new LengthFieldBasedFrameDecoder(
+                maxFrameBytes + LENGTH_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES);
+    }
+
+    private boolean send(PeerMessage message) {
+        if (!channel.isActive()) {
+            return false;
+        }
+        if (!channel.isWritable()) {
+            reject("outbound buffer is full");
+            return false;
+        }
+        Either<String, byte[]> frame = PeerMessageWriter.write(message);
+        if (frame.isLeft()) {
+            return false;
+        }
+        byte[] content = frame.get();
+        ByteBuf buffer = channel.alloc().buffer(LENGTH_BYTES + content.length);
+        buffer.writeInt(content.length).writeBytes(content);
+        sent.add(traffic(message), buffer.readableBytes());
+        channel.writeAndFlush(buffer, channel.voidPromise());
+        return true;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        events.opened().accept(link);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        events.closed().accept(link);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, ByteBuf frame) {
+        byte[] content = new byte[frame.readableBytes()];
+        frame.readBytes(content);
+        Either<String, Option<PeerMessage>> message = PeerMessageReader.read(content);
+        if (message.isLeft()) {
+            reject("malformed message: " + message.getLeft());
+            return;
+        }
+        received.add(
+                message.get().map(PeerChannel::traffic).getOrElse(Traffic.CONTROL),
+                content.length + LENGTH_BYTES);
+        message.get().forEach(known -> receive(context.pipeline(), known));
+    }
+
+    private void receive(ChannelPipeline pipeline, PeerMessage message) {
+        events.received().accept(link, message);
+        if (message instanceof PeerMessage.HelloProof && channel.isActive()) {
+            // The listener has closed the channel if the proof is wrong. Replacing the decoder
+            // hands
+            // the bytes it holds to the new one at once, so the proof must have been delivered.
+            pipeline.replace(DECODER, DECODER, decoder(PeerMessageWriter.MAX_FRAME_BYTES));
+        }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (cause instanceof DecoderException) {
+            reject("malformed frame: " + cause.getMessage());
+        } else if (cause instanceof IOException) {
+            // Reset by the peer; the closed event tells of it.
+            channel.close();
+        } else {
+            log.record(LogEvent.INVARIANT_BROKEN, HashMap.of("cause", String.valueOf(cause)));
+            channel.close();
+        }
+    }
+
+    private void reject(String reason) {
+        // What is left in the input of a closed channel may be malformed too.
+        if (rejected.compareAndSet(false, true)) {
+            log.record(
+                    LogEvent.PEER_REJECTED, HashMap.of("remote", link.remote(), "reason", reason));
+        }
+        channel.close();
+    }
+
+    private static Traffic traffic(PeerMessage message) {
+        return message.isForwarded() ? Traffic.FORWARDED : Traffic.CONTROL;
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/peer/TcpPeerTransport.java
@@ -0,0 +1,151 @@
+package org.sequoiaspindle.daemon.transport.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.NetUtil;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import io.vavr.control.Option;
+import io.vavr.control.Try;
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.sequoiaspindle.core.common.EventLog;
+import org.sequoiaspindle.core.protocol.peer.LinkEvents;
+import org.sequoiaspindle.core.protocol.peer.PeerTransport;
+
+/**
+ * Peer links over TCP: frames of a 4-byte length and MessagePack. Handshake, silence and the choice
+ * of links are decided by the listener, not here.
+ */
+public final class TcpPeerTransport implements PeerTransport, AutoCloseable {
+
+    private static final int IO_THREADS = 2;
+    private static final int CONNECT_LIMIT_MILLIS = 1_000;
+    private static final long CLOSE_LIMIT_MILLIS = 2_000;
+
+    /** Bytes that may wait for a slow peer; a link over it is closed. Holds four largest frames. */
+    private static final WriteBufferWaterMark OUTBOUND =
+            new WriteBufferWaterMark(2 * 1024 * 1024, 8 * 1024 * 1024);
+
+    private final EventLog log;
+    private final ByteCounter sent;
+    private final ByteCounter received;
+    private final AtomicReference<Option<LinkEvents>> acceptor =
+            new AtomicReference<>(Option.none());
+    private final EventLoopGroup threads =
+            new MultiThreadIoEventLoopGroup(
+                    IO_THREADS,
+                    new DefaultThreadFactory("peer-link", true),
+                    NioIoHandler.newFactory());
+
+    /** Transport that does not listen yet. */
+    public TcpPeerTransport(EventLog log, ByteCounter sent, ByteCounter received) {
+        this.log = log;
+        this.sent = sent;
+        this.received = received;
+    }
+
+    /**
+     * Binds the peer port and returns the bound address; port 0 takes a free one. Connections are
+     * closed at once until {@link #accept} is called.
+     *
+     * @throws java.net.BindException if the address is in use
+     */
+    public InetSocketAddress bind(InetSocketAddress address) {
+        Channel server =
+                new ServerBootstrap()
+                        .group(threads)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, OUTBOUND)
+                        .childHandler(initializer(this::accepted))
+                        .bind(address)
+                        .syncUninterruptibly()
+                        .channel();
+        return (InetSocketAddress) server.localAddress();
+    }
+
+    /** Starts to hand accepted connections to the listener. */
+    public void accept(LinkEvents events) {
+        acceptor.set(Option.of(events));
+    }
+
+    private void accepted(Channel channel) {
+        Option<LinkEvents> events = acceptor.get();
+        if (events.isEmpty()) {
+            channel.close();
+            return;
+        }
+        install(channel, String.valueOf(channel.remoteAddress()), events.get());
+    }
+
+    @Override
+    public void connect(String address, LinkEvents events) {
+        Option<InetSocketAddress> target = parse(address);
+        if (target.isEmpty() || threads.isShuttingDown()) {
+            events.failed().run();
+            return;
+        }
+        new Bootstrap()
+                .group(threads)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_LIMIT_MILLIS)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, OUTBOUND)
+                .handler(initializer(channel -> install(channel, address, events)))
+                .connect(target.get())
+                .addListener(
+                        (ChannelFuture connected) -> {
+                            if (!connected.isSuccess()) {
+                                events.failed().run();
+                            }
+                        });
+    }
+
+    private static ChannelInitializer<Channel> initializer(Consumer<Channel> setUp) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                setUp.accept(channel);
+            }
+        };
+    }
+
+    private void install(Channel channel, String remote, LinkEvents events) {
+        PeerChannel.install(channel, remote, events, log, sent, received);
+    }
+
+    /** Address from IP literal and port; names are not resolved, since that may block. */
+    private static Option<InetSocketAddress> parse(String address) {
+        int colon = address.lastIndexOf(':');
+        if (colon < 0) {
+            return Option.none();
+        }
+        return Option.of(NetUtil.createInetAddressFromIpAddressString(address.substring(0, colon)))
+                .flatMap(
+                        ip ->
+                                Try.of(() -> Integer.parseInt(address.substring(colon + 1)))
+                                        .filter(port -> port > 0 && port <= 0xffff)
+                                        .toOption()
+                                        .map(port -> new InetSocketAddress(ip, port)));
+    }
+
+    /** Closes every connection and the peer port. */
+    @Override
+    public void close() {
+        threads.shutdownGracefully(0, CLOSE_LIMIT_MILLIS, TimeUnit.MILLISECONDS)
+                .awaitUninterruptibly(CLOSE_LIMIT_MILLIS);
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/peer/TcpPeerTransportTest.java
@@ -0,0 +1,279 @@
+package org.sequoiaspindle.daemon.transport.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.common.Closer;
+import org.sequoiaspindle.core.common.EventLog;
+import org.sequoiaspindle.core.common.LogEvent;
+import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.coordination.membership.PeerState;
+import org.sequoiaspindle.core.protocol.endpoint.CallResult;
+import org.sequoiaspindle.core.protocol.endpoint.EndpointCall;
+import org.sequoiaspindle.core.protocol.endpoint.EndpointExchange;
+import org.sequoiaspindle.core.protocol.endpoint.Token;
+import org.sequoiaspindle.core.protocol.peer.LinkEvents;
+import org.sequoiaspindle.core.protocol.peer.PeerDuties;
+import org.sequoiaspindle.core.protocol.peer.PeerLink;
+import org.sequoiaspindle.core.protocol.peer.PeerMessage;
+import org.sequoiaspindle.core.protocol.peer.PeerRuntime;
+import org.sequoiaspindle.core.protocol.peer.PeerScheduler;
+import org.sequoiaspindle.core.protocol.peer.PeerSecret;
+import org.sequoiaspindle.core.protocol.peer.PeerService;
+import org.sequoiaspindle.core.protocol.peer.PeerSettings;
+import org.sequoiaspindle.core.protocol.publication.Head;
+import org.sequoiaspindle.core.protocol.publication.HeldConfiguration;
+import org.sequoiaspindle.core.state.RequestId;
+import org.sequoiaspindle.core.state.SizeClass;
+
+/** Guards the peer link on real sockets: handshake, large frames, and malformed input. */
+final class TcpPeerTransportTest {
+
+    private static final long LIMIT_SECONDS = 30;
+
+    private final Closer closer = new Closer();
+    private final ScheduledExecutorService executor = Executors.newScheduledThreadPool(2);
+
+    @AfterEach
+    void closeAll() {
+        closer.close();
+        executor.shutdownNow();
+    }
+
+    private final class Node {
+        final Queue<LogEvent> log = new ConcurrentLinkedQueue<>();
+        final AtomicLong control = new AtomicLong();
+        final AtomicLong forwarded = new AtomicLong();
+        final CompletableFuture<String> part = new CompletableFuture<>();
+        final String address;
+        final PeerService service;
+        volatile HeldConfiguration held = HeldConfiguration.none();
+
+        Node(String instance, String secret, Vector<String> peers) {
+            TcpPeerTransport transport =
+                    closer.register(
+                            new TcpPeerTransport(
+                                    (event, fields) -> log.add(event),
+                                    this::count,
+                                    ByteCounter.NONE));
+            InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+            address = "127.0.0.1:" + transport.bind(any).getPort();
+            service =
+                    closer.register(
+                            new PeerService(
+                                    new PeerSettings(
+                                            instance,
+                                            instance,
+                                            address,
+                                            1,
+                                            PeerSecret.of(secret),
+                                            peers),
+                                    new PeerRuntime(
+                                            transport,
+                                            MillisClock.monotonic(),
+                                            PeerScheduler.of(executor),
+                                            bound -> ThreadLocalRandom.current().nextLong(bound),
+                                            new SecureNonces(),
+                                            (event, fields) -> log.add(event)),
+                                    duties()));
+            transport.accept(service.accepting());
+            service.start();
+        }
+
+        private PeerDuties duties() {
+            return new PeerDuties(
+                    () -> CompletableFuture.completedFuture(Either.right(Vector.empty())),
+                    () -> held,
+                    (head, source) ->
+                            source.fetch(Vector.of("d"))
+                                    .thenAccept(
+                                            parts ->
+                                                    parts.forEach(
+                                                            p -> part.complete(p.get("d").get()))),
+                    (call, sink) -> {
+                        sink.accept(new Token(0, call.input()));
+                        return new EndpointExchange(
+                                CompletableFuture.completedFuture(
+                                        new CallResult.Completed(
+                                                call.requestId(), 1, "", 1, Option.none())),
+                                () -> {});
+                    },
+                    () -> PeerState.SERVING,
+                    HashMap::empty);
+        }
+
+        private void count(ByteCounter.Traffic traffic, long bytes) {
+            (traffic == ByteCounter.Traffic.CONTROL ? control : forwarded).addAndGet(bytes);
+        }
+
+        boolean isLinkedTo(Node other) {
+            return service.linkedIn(other.service.membership().table().self().dataCentre())
+                    .nonEmpty();
+        }
+    }
+
+    /** Waits on a condition that other threads bring about. */
+    private void await(String what, BooleanSupplier condition) throws InterruptedException {
+        CountDownLatch met = new CountDownLatch(1);
+        var polling =
+                executor.scheduleAtFixedRate(
+                        () -> {
+                            if (condition.getAsBoolean()) {
+                                met.countDown();
+                            }
+                        },
+                        0,
+                        10,
+                        TimeUnit.MILLISECONDS);
+        assertTrue(met.await(LIMIT_SECONDS, TimeUnit.SECONDS), what);
+        polling.cancel(false);
+    }
+
+    @Test
+    void twoPeersShakeHandsAndExchangeConfiguration() throws Exception {
+        Node first = new Node("a", "secret", Vector.empty());
+        Node second = new Node("b", "secret", Vector.of(first.address));
+        await("link", () -> first.isLinkedTo(second) && second.isLinkedTo(first));
+        String large = "x".repeat(1_000_000);
+        Head head =
+                new Head(
+                        3,
+                        "s",
+                        "o",
+                        0,
+                        Vector.empty(),
+                        Vector.of(new Head.PartReference("k", 0, "d")));
+        first.held = new HeldConfiguration(Option.of(head), HashMap.of("d", large));
+        assertTrue(large.equals(second.part.get(LIMIT_SECONDS, TimeUnit.SECONDS)));
+        assertTrue(first.control.get() > 1_000_000);
+        assertEquals(0, first.forwarded.get());
+    }
+
+    @Test
+    void callIsForwardedAndItsBytesAreCountedApart() throws Exception {
+        Node first = new Node("a", "secret", Vector.empty());
+        Node second = new Node("b", "secret", Vector.of(first.address));
+        await("link", () -> second.isLinkedTo(first));
+        Queue<Token> tokens = new ConcurrentLinkedQueue<>();
+        EndpointCall call =
+                new EndpointCall(
+                        new RequestId("r"),
+                        "o",
+                        "s",
+                        1,
+                        "group",
+                        first.address,
+                        "hello",
+                        1,
+                        0,
+                        "",
+                        SizeClass.SHORT,
+                        true,
+                        1_000,
+                        "");
+        CallResult result =
+                second.service
+                        .forwarder()
+                        .call(call, tokens::add)
+                        .result()
+                        .toCompletableFuture()
+                        .get(LIMIT_SECONDS, TimeUnit.SECONDS);
+        assertInstanceOf(CallResult.Completed.class, result);
+        assertEquals(new Token(0, "hello"), tokens.peek());
+        assertTrue(second.forwarded.get() > 0);
+        assertTrue(second.forwarded.get() < 1_000);
+    }
+
+    @Test
+    void garbageAndEarlyFramesCloseOnlyTheirOwnConnection() throws Exception {
+        Node first = new Node("a", "secret", Vector.empty());
+        Node second = new Node("b", "secret", Vector.of(first.address));
+        await("link", () -> first.isLinkedTo(second));
+        int port = Integer.parseInt(first.address.substring(first.address.indexOf(':') + 1));
+        byte[] cancel = {(byte) 0x82, (byte) 0xa1, 't', 14, (byte) 0xa1, 'c', 1};
+        Vector<byte[]> attacks =
+                Vector.of(
+                        "GET / HTTP/1.1\r\n\r\n".getBytes(),
+                        new byte[] {-1, -1, -1, -1, 0},
+                        frame(new byte[] {(byte) 0xc1}),
+                        ByteBuffer.allocate(4).putInt(1_000_000).array(),
+                        frame(cancel));
+        for (byte[] attack : attacks) {
+            assertClosedAfter(port, attack);
+        }
+        await("log", () -> first.log.stream().filter(LogEvent.PEER_REJECTED::equals).count() >= 5);
+        assertTrue(first.isLinkedTo(second));
+        assertEquals(1, second.log.stream().filter(LogEvent.PEER_CONNECTED::equals).count());
+    }
+
+    private static byte[] frame(byte[] content) {
+        return ByteBuffer.allocate(4 + content.length).putInt(content.length).put(content).array();
+    }
+
+    private static void assertClosedAfter(int port, byte[] bytes) throws IOException {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(LIMIT_SECONDS));
+            socket.getOutputStream().write(bytes);
+            assertEquals(-1, socket.getInputStream().read());
+        }
+    }
+
+    @Test
+    void peerWithAnotherSecretIsRejectedAndLogged() throws Exception {
+        Node first = new Node("a", "secret", Vector.empty());
+        Node stranger = new Node("b", "other", Vector.of(first.address));
+        await("rejection", () -> first.log.contains(LogEvent.PEER_REJECTED));
+        assertTrue(!first.isLinkedTo(stranger) && !stranger.isLinkedTo(first));
+    }
+
+    @Test
+    void linkToAPeerThatDoesNotReadIsClosedOnceItsBufferIsFull() throws Exception {
+        TcpPeerTransport transport =
+                closer.register(
+                        new TcpPeerTransport(EventLog.NONE, ByteCounter.NONE, ByteCounter.NONE));
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        CompletableFuture<PeerLink> opened = new CompletableFuture<>();
+        CountDownLatch closed = new CountDownLatch(1);
+        InetSocketAddress bound = transport.bind(any);
+        transport.accept(
+                new LinkEvents(
+                        opened::complete,
+                        (link, message) -> {},
+                        link -> closed.countDown(),
+                        () -> {}));
+        try (Socket socket = new Socket(bound.getAddress(), bound.getPort())) {
+            PeerLink link = opened.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+            PeerMessage large =
+                    new PeerMessage.PartsReply(1, HashMap.of("d", "x".repeat(1_000_000)), true);
+            int accepted = 0;
+            while (accepted < 1_000 && link.sender().test(large)) {
+                accepted++;
+            }
+            assertTrue(accepted < 1_000, "the buffer grew without bound");
+            assertTrue(closed.await(LIMIT_SECONDS, TimeUnit.SECONDS));
+            assertTrue(socket.isConnected());
+        }
+    }
+}
