--- a/core/src/main/java/org/sequoiaspindle/core/protocol/peer/ConfigurationExchange.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/peer/ConfigurationExchange.java
@@ -152,7 +152,7 @@
         PartsFetch fetch = new PartsFetch(session, digests, HashMap.empty(), result);
         fetches.updateAndGet(map -> map.put(correlation, fetch));
         Runnable cancelLimit =
-                runtime.scheduler()
+                runtime.timer()
                         .schedule(
                                 PARTS_LIMIT_MILLIS,
                                 () -> finish(correlation, Either.left("the peer did not answer")));
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/peer/PeerRuntime.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/peer/PeerRuntime.java
@@ -4,6 +4,7 @@
 import java.util.function.Supplier;
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.common.Timer;
 
 /**
  * Facilities that the conversation between instances runs on.
@@ -15,7 +16,7 @@
 public record PeerRuntime(
         PeerTransport transport,
         MillisClock clock,
-        PeerScheduler scheduler,
+        Timer timer,
         LongUnaryOperator random,
         Supplier<String> nonces,
         EventLog log) {}
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/peer/PeerService.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/peer/PeerService.java
@@ -134,14 +134,8 @@
             return;
         }
         // Scheduled before the work, so that a failure in it does not end the heartbeats.
-        ticking.set(Option.of(runtime.scheduler().schedule(TICK_MILLIS, this::tick)));
-        try {
-            work(runtime.clock().now());
-        } catch (RuntimeException e) {
-            // A scheduler would drop the exception without a trace.
-            runtime.log().record(LogEvent.INVARIANT_BROKEN, HashMap.of("cause", String.valueOf(e)));
-            throw e;
-        }
+        ticking.set(Option.of(runtime.timer().schedule(TICK_MILLIS, this::tick)));
+        work(runtime.clock().now());
     }
 
     private void work(long now) {
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/coordination/GroupLoads.java
@@ -0,0 +1,65 @@
+package org.sequoiaspindle.daemon.coordination;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.Map;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.coordination.membership.GroupLoad;
+import org.sequoiaspindle.core.coordination.routing.EndpointState;
+import org.sequoiaspindle.core.coordination.routing.GroupState;
+import org.sequoiaspindle.core.coordination.routing.Groups;
+
+/** Load of the endpoint groups as heartbeats carry it. Thread-safe. */
+public final class GroupLoads implements Supplier<Map<String, GroupLoad>> {
+
+    private static final long MIN_INTERVAL_MS = 500;
+
+    private final Groups groups;
+    private final MillisClock clock;
+    private final AtomicReference<Sample> last;
+
+    /** Placements by group at a time, and the loads worked out from the one before. */
+    private record Sample(long at, Map<String, Long> placements, Map<String, GroupLoad> loads) {}
+
+    public GroupLoads(Groups groups, MillisClock clock) {
+        this.groups = groups;
+        this.clock = clock;
+        this.last = new AtomicReference<>(new Sample(0, HashMap.empty(), HashMap.empty()));
+    }
+
+    @Override
+    public Map<String, GroupLoad> get() {
+        Sample before = last.get();
+        long now = clock.now();
+        if (now - before.at() < MIN_INTERVAL_MS) {
+            return before.loads();
+        }
+        Sample next = sample(before, now);
+        last.compareAndSet(before, next);
+        return next.loads();
+    }
+
+    private Sample sample(Sample before, long now) {
+        Map<String, Long> placements = HashMap.empty();
+        Map<String, GroupLoad> loads = HashMap.empty();
+        for (String name : groups.names()) {
+            GroupState state = groups.group(name).state();
+            if (state.open().isEmpty()) {
+                continue;
+            }
+            long arrived =
+                    state.placements() - before.placements().getOrElse(name, state.placements());
+            int perSecond = (int) (arrived * 1000 / Math.max(1, now - before.at()));
+            placements = placements.put(name, state.placements());
+            loads = loads.put(name, load(state, perSecond));
+        }
+        return new Sample(now, placements, loads);
+    }
+
+    private static GroupLoad load(GroupState state, int arrivalsPerSecond) {
+        int running = state.endpoints().values().map(EndpointState::inFlight).sum().intValue();
+        double slots = state.open().map(EndpointState::limit).sum().doubleValue();
+        return new GroupLoad(arrivalsPerSecond, running, state.waiting(), (int) slots);
+    }
+}
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/peer/TcpPeerTransportTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/peer/TcpPeerTransportTest.java
@@ -27,6 +27,7 @@
 import org.junit.jupiter.api.Test;
 import org.sequoiaspindle.core.common.Closer;
 import org.sequoiaspindle.core.common.EventLog;
+import org.sequoiaspindle.core.common.ExecutorTimer;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.coordination.membership.PeerState;
@@ -39,7 +40,6 @@
 import org.sequoiaspindle.core.protocol.peer.PeerLink;
 import org.sequoiaspindle.core.protocol.peer.PeerMessage;
 import org.sequoiaspindle.core.protocol.peer.PeerRuntime;
-import org.sequoiaspindle.core.protocol.peer.PeerScheduler;
 import org.sequoiaspindle.core.protocol.peer.PeerSecret;
 import org.sequoiaspindle.core.protocol.peer.PeerService;
 import org.sequoiaspindle.core.protocol.peer.PeerSettings;
@@ -56,6 +56,8 @@
     private final Closer closer = new Closer();
     private final ScheduledExecutorService executor = Executors.newScheduledThreadPool(2);
 
+    private final ExecutorTimer timer = closer.register(new ExecutorTimer(2, "test"));
+
     @AfterEach
     void closeAll() {
         closer.close();
@@ -93,7 +95,7 @@
                                     new PeerRuntime(
                                             transport,
                                             MillisClock.monotonic(),
-                                            PeerScheduler.of(executor),
+                                            timer,
                                             bound -> ThreadLocalRandom.current().nextLong(bound),
                                             new SecureNonces(),
                                             (event, fields) -> log.add(event)),
