Keep long requests connected and report closed clients as unavailable

Cause: Micronaut closes connections that are idle for 5 minutes, but deadlines go up to one hour; a command to a closed store client raised an exception. Change: idle limits of 65 minutes; the exchange is started inside the error handling.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/HttpFrontEnd.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/HttpFrontEnd.java
@@ -16,6 +16,9 @@
     /** The largest body is an object set; the controllers of callers have a lower limit. */
     private static final int MAX_BODY_BYTES = 32 * 1024 * 1024;
 
+    /** A request may be silent for as long as the longest deadline, one hour. */
+    private static final String IDLE_LIMIT = "65m";
+
     private static final int RANDOM_PORT = -1;
 
     private final ApplicationContext context;
@@ -36,6 +39,9 @@
         properties.put("micronaut.server.host", host);
         properties.put("micronaut.server.port", port == 0 ? RANDOM_PORT : port);
         properties.put("micronaut.server.max-request-size", MAX_BODY_BYTES);
+        properties.put("micronaut.server.idle-timeout", IDLE_LIMIT);
+        properties.put("micronaut.server.read-idle-timeout", IDLE_LIMIT);
+        properties.put("micronaut.server.write-idle-timeout", IDLE_LIMIT);
         properties.put("micronaut.server.log-handled-exceptions", false);
         return new HttpFrontEnd(
                 ApplicationContext.builder()
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/EndpointAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/EndpointAttempt.java
@@ -60,7 +60,7 @@
         return result.isDone();
     }
 
-    /** Gives up the call. Its connection is closed, also if the whole answer is on its way. */
+    /** Gives up the call and closes its connection; does nothing once the call has ended. */
     void cancel() {
         if (endBeforeSending("cancelled before sending") || hasEnded()) {
             return;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/store/PlatformClient.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/store/PlatformClient.java
@@ -54,9 +54,8 @@
     CompletionStage<Either<String, HttpResponse<byte[]>>> exchange(
             HttpRequest<?> request, long limitMillis) {
         HttpClient client = clients.computeIfAbsent(limitMillis, this::create);
-        return Mono.from(
-                        client.exchange(
-                                request, Argument.of(byte[].class), Argument.of(byte[].class)))
+        Argument<byte[]> bytes = Argument.of(byte[].class);
+        return Mono.defer(() -> Mono.from(client.exchange(request, bytes, bytes)))
                 .timeout(Duration.ofMillis(limitMillis + TOTAL_GRACE_MS))
                 .map(Either::<String, HttpResponse<byte[]>>right)
                 .onErrorResume(e -> Mono.just(Either.left(String.valueOf(e.getMessage()))))
