--- a/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/Json.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/Json.java
@@ -23,8 +23,17 @@
 
     /** The object that the bytes hold, none if they hold anything else. */
     public static Option<JsonNode> objectIn(byte[] bytes) {
+        return valueIn(bytes).filter(JsonNode::isObject);
+    }
+
+    /** The array that the bytes hold, none if they hold anything else. */
+    public static Option<JsonNode> arrayIn(byte[] bytes) {
+        return valueIn(bytes).filter(JsonNode::isArray);
+    }
+
+    private static Option<JsonNode> valueIn(byte[] bytes) {
         try {
-            return Option.of(MAPPER.readTree(bytes)).filter(JsonNode::isObject);
+            return Option.of(MAPPER.readTree(bytes));
         } catch (IOException e) {
             return Option.none();
         }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/store/PlatformMessages.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/store/PlatformMessages.java
@@ -18,12 +18,9 @@
         return Json.objectIn(body).flatMap(node -> Json.whole(node, "lease"));
     }
 
-    /** Entries of the list {@code {"instances":[{kind,address,dataCentre,leaving}]}}. */
+    /** Entries of the list {@code [{kind,address,dataCentre,leaving}]}. */
     public static Either<String, Vector<ListedInstance>> instances(byte[] body) {
-        Option<JsonNode> array =
-                Json.objectIn(body)
-                        .flatMap(node -> Option.of(node.get("instances")))
-                        .filter(JsonNode::isArray);
+        Option<JsonNode> array = Json.arrayIn(body);
         if (array.isEmpty()) {
             return Either.left("malformed instance list");
         }
