Cut the periodic work of the peer conversation

At 342 instances the periodic work sorted the whole table ten times a second, built one summary per link, replaced keys of a linked map in linear time and compared all links with all wanted addresses each tick.

Suspicion is found without sorting, a summary is built once for all links, contacts are gathered in a plain map, and unneeded links are looked for once a second.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/membership/MembershipTable.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/membership/MembershipTable.java
@@ -2,8 +2,8 @@
 
 import io.vavr.collection.HashMap;
 import io.vavr.collection.HashSet;
-import io.vavr.collection.LinkedHashMap;
 import io.vavr.collection.Map;
+import io.vavr.collection.Seq;
 import io.vavr.collection.Set;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
@@ -154,6 +154,11 @@
                 .sortBy(Peer::instance);
     }
 
+    /** Other instances that were heard of, in no particular order. */
+    public Seq<Peer> peers() {
+        return peers.values();
+    }
+
     public Option<Peer> peer(String instance) {
         return peers.get(instance);
     }
@@ -180,15 +185,14 @@
                         .toVector()
                         .sortBy(Peer::lastHeardMillis)
                         .map(peer -> new Contact(peer.address(), Option.of(peer.dataCentre())));
-        return configured
+        // Replacing a key of Vavr's LinkedHashMap takes time linear in its size.
+        java.util.Map<String, Contact> byAddress = new java.util.LinkedHashMap<>();
+        configured
                 .appendAll(listed)
                 .appendAll(heard)
-                .foldLeft(
-                        LinkedHashMap.<String, Contact>empty(),
-                        (map, contact) -> map.put(contact.address(), contact))
-                .remove(self.address())
-                .values()
-                .toVector();
+                .forEach(contact -> byAddress.put(contact.address(), contact));
+        byAddress.remove(self.address());
+        return Vector.ofAll(byAddress.values());
     }
 
     /** Addresses to which a link cannot be expected to work. */
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/peer/PeerLinks.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/peer/PeerLinks.java
@@ -94,13 +94,17 @@
         sessions.get().values().forEach(this::drop);
     }
 
-    /** Closes silent and unneeded links and dials wanted addresses that have none. */
+    /** Closes links that neither side chose any longer. */
+    void closeUnneeded(Set<String> wanted, long nowMillis) {
+        unneeded(wanted, nowMillis).forEach(this::drop);
+    }
+
+    /** Closes silent links and dials wanted addresses that have none. */
     void tick(Set<String> wanted, long nowMillis) {
         sessions.get()
                 .values()
                 .filter(session -> session.silentMillis(nowMillis) >= SILENT_MILLIS)
                 .forEach(this::dropSilent);
-        unneeded(wanted, nowMillis).forEach(this::drop);
         wanted.filter(address -> isDue(address, nowMillis)).forEach(this::dial);
     }
 
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/peer/PeerService.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/peer/PeerService.java
@@ -150,6 +150,7 @@
         if (now >= due && nextHeartbeatMillis.compareAndSet(due, now + HEARTBEAT_MILLIS)) {
             beat();
             wanted.set(LinkRule.addresses(membership.table()));
+            links.closeUnneeded(wanted.get(), now);
         }
         links.tick(wanted.get(), now);
         polls.tick(now);
@@ -158,32 +159,29 @@
     private void passTime(long now) {
         MembershipTable before = membership.table();
         MembershipTable after = membership.update(table -> table.at(now));
-        if (after == before) {
-            return;
-        }
-        after.instances()
+        after.peers()
                 .filter(peer -> !peer.isLive(after.nowMillis()))
-                .filter(
-                        peer ->
-                                before.peer(peer.instance())
-                                        .exists(p -> p.isLive(before.nowMillis())))
+                .filter(peer -> peer.isLive(before.nowMillis()))
                 .forEach(
                         peer ->
                                 runtime.log()
                                         .record(
                                                 LogEvent.PEER_SUSPECTED,
                                                 HashMap.of("peer", peer.instance())));
-        Set<String> known = HashSet.ofAll(after.instances().map(Peer::instance));
-        membership.updateLeaving(leaving -> leaving.retainPeers(known));
+        if (after.peers().size() < before.peers().size()) {
+            Set<String> known = HashSet.ofAll(after.peers().map(Peer::instance));
+            membership.updateLeaving(leaving -> leaving.retainPeers(known));
+        }
     }
 
     private void beat() {
         PeerReport report = report(duties.load().get());
         MembershipTable table = membership.update(t -> t.withSelf(report));
         links.established().forEach(session -> beat(session, report));
-        links.established()
-                .filter(session -> !isLocal(session) && session.isChosenByPeer())
-                .forEach(session -> summaries.tick(session, table));
+        Vector<PeerSession> remote =
+                links.established()
+                        .filter(session -> !isLocal(session) && session.isChosenByPeer());
+        summaries.tick(remote, table);
     }
 
     private void beat(PeerSession session, PeerReport report) {
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/peer/Summaries.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/peer/Summaries.java
@@ -3,6 +3,7 @@
 import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
 import io.vavr.collection.Vector;
+import io.vavr.control.Option;
 import java.util.concurrent.atomic.AtomicReference;
 import org.sequoiaspindle.core.coordination.membership.MembershipTable;
 import org.sequoiaspindle.core.coordination.membership.Peer;
@@ -24,20 +25,25 @@
 
     private record Sent(long atMillis, Vector<PeerMessage.Summary.Entry> content) {}
 
-    /** Sends what is due on the link. */
-    void tick(PeerSession session, MembershipTable table) {
-        long now = table.nowMillis();
-        Sent before = sent.get().getOrElse(session, new Sent(now - REPEAT_MILLIS, Vector.empty()));
-        if (now - before.atMillis() < INTERVAL_MILLIS) {
-            return;
-        }
+    /** Sends what is due on the links. */
+    void tick(Vector<PeerSession> sessions, MembershipTable table) {
         Vector<PeerMessage.Summary.Entry> entries = entries(table);
         Vector<PeerMessage.Summary.Entry> content = entries.map(Summaries::withoutTimes);
-        if (now - before.atMillis() < REPEAT_MILLIS && content.equals(before.content())) {
-            return;
-        }
-        sent.updateAndGet(map -> map.put(session, new Sent(now, content)));
-        session.send(new PeerMessage.Summary(table.self().dataCentre(), entries));
+        PeerMessage summary = new PeerMessage.Summary(table.self().dataCentre(), entries);
+        Sent now = new Sent(table.nowMillis(), content);
+        sessions.filter(session -> isDue(session, now))
+                .forEach(
+                        session -> {
+                            sent.updateAndGet(map -> map.put(session, now));
+                            session.send(summary);
+                        });
+    }
+
+    private boolean isDue(PeerSession session, Sent now) {
+        Option<Sent> before = sent.get().get(session);
+        long age = before.map(last -> now.atMillis() - last.atMillis()).getOrElse(REPEAT_MILLIS);
+        return age >= REPEAT_MILLIS
+                || age >= INTERVAL_MILLIS && !before.map(Sent::content).contains(now.content());
     }
 
     void lost(PeerSession session) {
