Keep the sums of a group beside it and choose once per ticket

Change: Totals is updated with each change; the queue order gives the ticket with its endpoint; predictions read the sums.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/admission/DeadlineAdmission.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/admission/DeadlineAdmission.java
@@ -12,7 +12,7 @@
     @Override
     public Option<RefusalCause> refusal(GroupState group, CallProfile profile, long now) {
         long needed =
-                WaitPrediction.waitMs(group, profile, now)
+                WaitPrediction.waitMs(group, profile)
                         + group.model().expectedMs(profile)
                         + profile.laterMs();
         return profile.deadline().remaining(now) < needed
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/routing/FairOrder.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/routing/FairOrder.java
@@ -2,7 +2,7 @@
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
-import java.util.function.Predicate;
+import java.util.function.Function;
 import org.sequoiaspindle.core.state.SizeClass;
 
 /**
@@ -13,7 +13,7 @@
 public final class FairOrder implements QueueOrder {
 
     @Override
-    public Option<Ticket> next(GroupState group, Predicate<Ticket> placeable) {
+    public Option<Match> next(GroupState group, Function<Ticket, Option<EndpointState>> placer) {
         Vector<OrganisationQueue> inOrder =
                 group.queues()
                         .values()
@@ -21,19 +21,26 @@
                         .toVector()
                         .sortBy(queue -> Math.max(group.virtualTime(), queue.finishTag()));
         for (OrganisationQueue queue : inOrder) {
-            Option<Ticket> ticket = firstPlaceable(queue, placeable);
-            if (ticket.isDefined()) {
-                return ticket;
+            Option<Match> match = firstPlaceable(queue, placer);
+            if (match.isDefined()) {
+                return match;
             }
         }
         return Option.none();
     }
 
-    private static Option<Ticket> firstPlaceable(
-            OrganisationQueue queue, Predicate<Ticket> placeable) {
-        return Vector.of(SizeClass.SHORT, SizeClass.LONG)
-                .flatMap(queue::first)
-                .sorted(Ticket.BY_SLACK)
-                .find(placeable);
+    private static Option<Match> firstPlaceable(
+            OrganisationQueue queue, Function<Ticket, Option<EndpointState>> placer) {
+        Vector<Ticket> firsts =
+                Vector.of(SizeClass.SHORT, SizeClass.LONG)
+                        .flatMap(queue::first)
+                        .sorted(Ticket.BY_SLACK);
+        for (Ticket ticket : firsts) {
+            Option<Match> match = Match.of(ticket, placer);
+            if (match.isDefined()) {
+                return match;
+            }
+        }
+        return Option.none();
     }
 }
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/routing/GroupState.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/routing/GroupState.java
@@ -14,8 +14,8 @@
  * @param endpoints endpoints of the own data centre by name
  * @param queues waiting tickets by organisation
  * @param model learned service times
+ * @param totals sums over endpoints and queues
  * @param virtualTime place of the fair order that was served last
- * @param queuedMs predicted service time of all waiting tickets, in milliseconds
  * @param committedMs predicted service time of admitted requests that will reach this group later,
  *     in milliseconds
  * @param lastShortAt time at which a short call was last submitted, in milliseconds
@@ -25,8 +25,8 @@
         TreeMap<String, EndpointState> endpoints,
         Map<String, OrganisationQueue> queues,
         ServiceModel model,
+        Totals totals,
         double virtualTime,
-        long queuedMs,
         long committedMs,
         long lastShortAt,
         long placements) {
@@ -34,7 +34,14 @@
     /** A group without endpoints. */
     public static GroupState empty() {
         return new GroupState(
-                TreeMap.empty(), HashMap.empty(), ServiceModel.empty(), 0, 0, 0, Long.MIN_VALUE, 0);
+                TreeMap.empty(),
+                HashMap.empty(),
+                ServiceModel.empty(),
+                Totals.NONE,
+                0,
+                0,
+                Long.MIN_VALUE,
+                0);
     }
 
     public Option<EndpointState> endpoint(String name) {
@@ -46,17 +53,14 @@
         return endpoints.values().filter(endpoint -> !endpoint.leaving()).toVector();
     }
 
-    /** Number of waiting tickets. */
-    public int waiting() {
-        return queues.values()
-                .map(queue -> queue.shortTickets().size() + queue.longTickets().size())
-                .sum()
-                .intValue();
+    /** Whether any endpoint may receive new work. */
+    public boolean isOpen() {
+        return endpoints.values().exists(endpoint -> !endpoint.leaving());
     }
 
-    /** Whether a ticket of the size class waits. */
-    public boolean waits(SizeClass sizeClass) {
-        return queues.values().exists(queue -> !queue.tickets(sizeClass).isEmpty());
+    /** Number of waiting tickets. */
+    public int waiting() {
+        return totals.waiting();
     }
 
     /** Calls of a size class in flight on all endpoints. */
@@ -65,24 +69,30 @@
     }
 
     GroupState withEndpoint(EndpointState endpoint) {
-        return withEndpoints(endpoints.put(endpoint.name(), endpoint));
+        Totals without = endpoints.get(endpoint.name()).map(totals::minus).getOrElse(totals);
+        return with(endpoints.put(endpoint.name(), endpoint), without.plus(endpoint));
     }
 
     GroupState withEndpoints(TreeMap<String, EndpointState> next) {
-        return new GroupState(
-                next, queues, model, virtualTime, queuedMs, committedMs, lastShortAt, placements);
+        Totals without = endpoints.values().foldLeft(totals, Totals::minus);
+        return with(next, next.values().foldLeft(without, Totals::plus));
+    }
+
+    /** A call starts on an endpoint. */
+    GroupState start(EndpointState endpoint, RunningCall call) {
+        GroupState started = withEndpoint(endpoint.start(call));
+        return started.with(started.endpoints, started.totals.withRunning(call.expectedMs()));
+    }
+
+    /** A call ends on an endpoint. */
+    GroupState end(EndpointState endpoint, RunningCall call) {
+        GroupState ended = withEndpoint(endpoint.end(call.ticket()));
+        return ended.with(ended.endpoints, ended.totals.withRunning(-call.expectedMs()));
     }
 
     GroupState withModel(ServiceModel next) {
         return new GroupState(
-                endpoints,
-                queues,
-                next,
-                virtualTime,
-                queuedMs,
-                committedMs,
-                lastShortAt,
-                placements);
+                endpoints, queues, next, totals, virtualTime, committedMs, lastShortAt, placements);
     }
 
     GroupState withCommittedMs(long millis) {
@@ -90,8 +100,8 @@
                 endpoints,
                 queues,
                 model,
+                totals,
                 virtualTime,
-                queuedMs,
                 Math.max(0, millis),
                 lastShortAt,
                 placements);
@@ -99,17 +109,17 @@
 
     GroupState withLastShortAt(long time) {
         return new GroupState(
-                endpoints, queues, model, virtualTime, queuedMs, committedMs, time, placements);
+                endpoints, queues, model, totals, virtualTime, committedMs, time, placements);
     }
 
     GroupState enqueue(Ticket ticket) {
         OrganisationQueue queue = queueOf(ticket.profile().organisation()).add(ticket);
-        return withQueue(queue, virtualTime, queuedMs + ticket.expectedMs(), placements);
+        return with(queue, totals.withWaiting(ticket, 1), virtualTime, placements);
     }
 
     GroupState dequeue(Ticket ticket) {
         OrganisationQueue queue = queueOf(ticket.profile().organisation()).remove(ticket);
-        return withQueue(queue, virtualTime, queuedMs - ticket.expectedMs(), placements);
+        return with(queue, totals.withWaiting(ticket, -1), virtualTime, placements);
     }
 
     /** Charges the organisation for a placed ticket (start-time fair queueing). */
@@ -117,21 +127,33 @@
         OrganisationQueue queue = queueOf(ticket.profile().organisation());
         double startTag = Math.max(virtualTime, queue.finishTag());
         double cost = (double) Math.max(1, ticket.expectedMs()) / ticket.profile().weight();
-        return withQueue(queue.withFinishTag(startTag + cost), startTag, queuedMs, placements + 1);
+        return with(queue.withFinishTag(startTag + cost), totals, startTag, placements + 1);
     }
 
     private OrganisationQueue queueOf(String organisation) {
         return queues.getOrElse(organisation, OrganisationQueue.empty(organisation));
     }
 
-    private GroupState withQueue(
-            OrganisationQueue queue, double nextVirtualTime, long nextQueuedMs, long nextPlaced) {
+    private GroupState with(TreeMap<String, EndpointState> nextEndpoints, Totals nextTotals) {
+        return new GroupState(
+                nextEndpoints,
+                queues,
+                model,
+                nextTotals,
+                virtualTime,
+                committedMs,
+                lastShortAt,
+                placements);
+    }
+
+    private GroupState with(
+            OrganisationQueue queue, Totals nextTotals, double nextVirtualTime, long nextPlaced) {
         return new GroupState(
                 endpoints,
                 queues.put(queue.organisation(), queue),
                 model,
+                nextTotals,
                 nextVirtualTime,
-                nextQueuedMs,
                 committedMs,
                 lastShortAt,
                 nextPlaced);
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/routing/GroupTransitions.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/routing/GroupTransitions.java
@@ -6,6 +6,7 @@
 import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.sequoiaspindle.core.coordination.routing.Placement.RefusalCause;
+import org.sequoiaspindle.core.coordination.routing.QueueOrder.Match;
 import org.sequoiaspindle.core.state.SizeClass;
 
 /** Next states of a group under a policy. Pure functions: the state, time and chance come in. */
@@ -23,7 +24,7 @@
         GroupState seen =
                 profile.sizeClass() == SizeClass.SHORT ? group.withLastShortAt(now) : group;
         Ticket ticket = new Ticket(id, profile, now, group.model().expectedMs(profile));
-        if (seen.open().isEmpty()) {
+        if (!seen.isOpen()) {
             return refuse(seen, id, RefusalCause.NO_ENDPOINT);
         }
         Option<RefusalCause> refusal = policy.admission().refusal(seen, profile, now);
@@ -47,7 +48,7 @@
         if (call.isEmpty()) {
             return Step.of(group);
         }
-        GroupState freed = group.withEndpoint(known.get().end(ticket));
+        GroupState freed = group.end(known.get(), call.get());
         EndpointState learned =
                 policy.health()
                         .after(freed, freed.endpoint(endpointName).get(), call.get(), report, now);
@@ -110,7 +111,7 @@
     }
 
     private Step refuseIfClosed(Step step) {
-        if (!step.state().open().isEmpty()) {
+        if (step.state().isOpen()) {
             return step;
         }
         Step refused = step;
@@ -123,33 +124,28 @@
 
     private Step dispatch(Step start, long now, RandomGenerator random) {
         Step step = start;
-        while (true) {
+        while (step.state().waiting() > 0) {
             GroupState group = step.state();
-            Predicate<Ticket> placeable =
-                    ticket ->
-                            policy.chooser()
-                                    .choose(group, ticket.profile(), now, random)
-                                    .isDefined();
-            Option<Ticket> next = policy.order().next(group, placeable);
-            if (next.isEmpty()) {
+            Option<Match> match =
+                    policy.order()
+                            .next(
+                                    group,
+                                    ticket ->
+                                            policy.chooser()
+                                                    .choose(group, ticket.profile(), now, random));
+            if (match.isEmpty()) {
                 return step;
             }
-            Ticket ticket = next.get();
-            Option<EndpointState> endpoint =
-                    policy.chooser().choose(group, ticket.profile(), now, random);
-            if (endpoint.isEmpty()) {
-                return step;
-            }
-            step = place(step, ticket, endpoint.get(), now);
+            step = place(step, match.get().ticket(), match.get().endpoint(), now);
         }
+        return step;
     }
 
     private static Step place(Step step, Ticket ticket, EndpointState endpoint, long now) {
         RunningCall call =
                 new RunningCall(
                         ticket.id(), ticket.profile().sizeClass(), now, ticket.expectedMs());
-        GroupState next =
-                step.state().dequeue(ticket).charge(ticket).withEndpoint(endpoint.start(call));
+        GroupState next = step.state().dequeue(ticket).charge(ticket).start(endpoint, call);
         return step.grant(
                 next,
                 ticket.id(),
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/routing/Room.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/routing/Room.java
@@ -26,12 +26,23 @@
         if (!groupHasRoom(group, profile.sizeClass(), now)) {
             return Vector.empty();
         }
+        Vector<EndpointState> preferred =
+                group.open()
+                        .filter(
+                                endpoint ->
+                                        !profile.avoid().contains(endpoint.name())
+                                                && isHealthy(endpoint, profile, now));
+        if (preferred.nonEmpty()) {
+            return preferred.filter(endpoint -> endpointHasRoom(endpoint, now));
+        }
+        return fallback(group, profile).filter(endpoint -> endpointHasRoom(endpoint, now));
+    }
+
+    /** Without a healthy endpoint any other is better than none. */
+    private static Vector<EndpointState> fallback(GroupState group, CallProfile profile) {
         Vector<EndpointState> untried =
                 group.open().filter(endpoint -> !profile.avoid().contains(endpoint.name()));
-        Vector<EndpointState> open = untried.isEmpty() ? group.open() : untried;
-        Vector<EndpointState> healthy = open.filter(endpoint -> isHealthy(endpoint, profile, now));
-        Vector<EndpointState> pool = healthy.isEmpty() ? open : healthy;
-        return pool.filter(endpoint -> endpointHasRoom(endpoint, now));
+        return untried.isEmpty() ? group.open() : untried;
     }
 
     /** Whether one more endpoint may be ejected. */
@@ -68,9 +79,8 @@
     }
 
     private boolean groupHasRoom(GroupState group, SizeClass sizeClass, long now) {
-        double limit = group.open().map(EndpointState::limit).sum().doubleValue();
-        int inFlight = group.endpoints().values().map(EndpointState::inFlight).sum().intValue();
-        if (inFlight >= Math.max(1, Math.ceil(limit))) {
+        double limit = group.totals().limit();
+        if (group.totals().inFlight() >= Math.max(1, Math.ceil(limit))) {
             return false;
         }
         if (sizeClass == SizeClass.SHORT || !shortExpected(group, now)) {
@@ -80,7 +90,7 @@
     }
 
     private static boolean shortExpected(GroupState group, long now) {
-        return group.waits(SizeClass.SHORT) || group.lastShortAt() >= now - SHORT_EXPECTED_MS;
+        return group.totals().waitingShort() > 0 || group.lastShortAt() >= now - SHORT_EXPECTED_MS;
     }
 
     /** Long calls, and short ones that have run so long that their prediction was wrong. */
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/request/Profiles.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/Profiles.java
@@ -44,8 +44,7 @@
     private long waitAndServiceMs(RequestPlan plan, PlannedStage planned) {
         GroupState group = groups.group(planned.group()).state();
         CallProfile profile = profile(plan, planned.stage(), 0);
-        return WaitPrediction.waitMs(group, profile, clock.now())
-                + group.model().expectedMs(profile);
+        return WaitPrediction.waitMs(group, profile) + group.model().expectedMs(profile);
     }
 
     private static CallProfile profile(RequestPlan plan, Stage stage, long laterMs) {
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/routing/GroupTransitionsTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/routing/GroupTransitionsTest.java
@@ -106,6 +106,7 @@
                 int inFlight =
                         drive.group.endpoints().values().map(e -> e.inFlight()).sum().intValue();
                 assertEquals(drive.running.size(), inFlight);
+                assertEquals(addedUp(drive.group), rounded(drive.group.totals()));
                 assertEquals(drive.submitted, drive.decided.size() + drive.group.waiting());
             }
             drive.pass(FAR);
@@ -172,6 +173,37 @@
                 new Placement.Refused(Placement.RefusalCause.NO_TIME), drive.decided.get(late));
     }
 
+    /** The sums worked out anew. */
+    private static Totals addedUp(GroupState group) {
+        Totals ofEndpoints = group.endpoints().values().foldLeft(Totals.NONE, Totals::plus);
+        Totals withQueues =
+                group.queues()
+                        .values()
+                        .flatMap(
+                                queue ->
+                                        queue.shortTickets()
+                                                .toVector()
+                                                .appendAll(queue.longTickets()))
+                        .foldLeft(ofEndpoints, (sum, ticket) -> sum.withWaiting(ticket, 1));
+        return rounded(
+                group.endpoints()
+                        .values()
+                        .flatMap(endpoint -> endpoint.running().values())
+                        .foldLeft(withQueues, (sum, call) -> sum.withRunning(call.expectedMs())));
+    }
+
+    /** Sums of fractions, without the last digits that depend on the order of addition. */
+    private static Totals rounded(Totals totals) {
+        return new Totals(
+                totals.inFlight(),
+                Math.round(totals.limit() * 1e6) / 1e6,
+                Math.round(totals.capacity() * 1e6) / 1e6,
+                totals.runningMs(),
+                totals.waitingShort(),
+                totals.waitingLong(),
+                totals.queuedMs());
+    }
+
     private static CallProfile profile(String organisation, SizeClass sizeClass, long deadline) {
         return new CallProfile(
                 organisation,
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/coordination/GroupLoads.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/coordination/GroupLoads.java
@@ -6,7 +6,6 @@
 import java.util.function.Supplier;
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.coordination.membership.GroupLoad;
-import org.sequoiaspindle.core.coordination.routing.EndpointState;
 import org.sequoiaspindle.core.coordination.routing.GroupState;
 import org.sequoiaspindle.core.coordination.routing.Groups;
 
@@ -45,7 +44,7 @@
         Map<String, GroupLoad> loads = HashMap.empty();
         for (String name : groups.names()) {
             GroupState state = groups.group(name).state();
-            if (state.open().isEmpty()) {
+            if (!state.isOpen()) {
                 continue;
             }
             long arrived =
@@ -58,8 +57,10 @@
     }
 
     private static GroupLoad load(GroupState state, int arrivalsPerSecond) {
-        int running = state.endpoints().values().map(EndpointState::inFlight).sum().intValue();
-        double slots = state.open().map(EndpointState::limit).sum().doubleValue();
-        return new GroupLoad(arrivalsPerSecond, running, state.waiting(), (int) slots);
+        return new GroupLoad(
+                arrivalsPerSecond,
+                state.totals().inFlight(),
+                state.waiting(),
+                (int) state.totals().limit());
     }
 }
