Log every event of the catalogue

Cause: eight events stood in docs/events.md that nothing recorded. Change: journals of requests and endpoints, start and end of spills, a reminder while no configuration is known, dropped answers.

--- a/core/src/main/java/org/sequoiaspindle/core/protocol/peer/RemoteGroups.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/peer/RemoteGroups.java
@@ -1,6 +1,8 @@
 package org.sequoiaspindle.core.protocol.peer;
 
 import io.vavr.collection.HashMap;
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Set;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import java.util.Comparator;
@@ -28,6 +30,8 @@
     private final EventLog events;
     private final ConcurrentHashMap<String, AtomicReference<SpillState>> states =
             new ConcurrentHashMap<>();
+    private final AtomicReference<Set<String>> lastSpilling =
+            new AtomicReference<>(HashSet.empty());
 
     /**
      * Chooser among peers.
@@ -49,9 +53,6 @@
         if (!before.refused(cause, now).isSpilling(now)) {
             return Option.none();
         }
-        if (!before.isSpilling(now)) {
-            events.record(LogEvent.SPILL_STARTED, HashMap.of("group", group));
-        }
         return remotePeers
                 .get()
                 .filter(peer -> peer.report().state() == PeerState.SERVING)
@@ -60,6 +61,21 @@
                 .map(Peer::address);
     }
 
+    /** Logs the start and end of spills; to be called about once a second. */
+    public void look() {
+        long now = clock.now();
+        Set<String> spilling =
+                HashSet.ofAll(states.entrySet())
+                        .filter(entry -> entry.getValue().get().isSpilling(now))
+                        .map(entry -> entry.getKey());
+        Set<String> before = lastSpilling.getAndSet(spilling);
+        spilling.diff(before)
+                .forEach(
+                        group -> events.record(LogEvent.SPILL_STARTED, HashMap.of("group", group)));
+        before.diff(spilling)
+                .forEach(group -> events.record(LogEvent.SPILL_ENDED, HashMap.of("group", group)));
+    }
+
     private static int freeSlots(Peer peer, String group) {
         return peer.report().load().get(group).map(RemoteGroups::freeSlots).getOrElse(0);
     }
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/request/StageRun.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/StageRun.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicReference;
 import org.sequoiaspindle.core.common.Invariants;
+import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.coordination.retry.RetryRule.Attempt;
 import org.sequoiaspindle.core.coordination.retry.RetryRule.RetryDecision;
 import org.sequoiaspindle.core.coordination.routing.CallProfile;
@@ -209,6 +210,16 @@
             HopTracer.Hop hop,
             CallResult raw) {
         CallResult result = AttemptEnd.verified(call, raw, stream);
+        if (result != raw) {
+            services.events()
+                    .record(
+                            LogEvent.LATE_ANSWER_DROPPED,
+                            HashMap.of(
+                                    "endpoint",
+                                    call.endpoint(),
+                                    "reason",
+                                    AttemptEnd.detail(result)));
+        }
         boolean cancelled = done.isDone() || state.get().lostTo(sent.number());
         long serviceMs = now() - sent.sentAt();
         long size = stage.streams() ? Math.max(1, stream.progress().position()) : sent.size();
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/coordination/EndpointJournal.java
@@ -0,0 +1,50 @@
+package org.sequoiaspindle.daemon.coordination;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Set;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
+import org.sequoiaspindle.core.common.EventLog;
+import org.sequoiaspindle.core.common.LogEvent;
+import org.sequoiaspindle.core.coordination.routing.EndpointState;
+import org.sequoiaspindle.core.coordination.routing.Groups;
+
+/**
+ * Logs what has changed about endpoints since it last looked: ejected, restored, leaving. Looking
+ * at intervals keeps the log out of the path of requests.
+ */
+public final class EndpointJournal {
+
+    private final Groups groups;
+    private final Supplier<Set<String>> leavingAddresses;
+    private final EventLog events;
+    private final AtomicReference<Set<String>> ejected = new AtomicReference<>(HashSet.empty());
+    private final AtomicReference<Set<String>> leaving = new AtomicReference<>(HashSet.empty());
+
+    public EndpointJournal(Groups groups, Supplier<Set<String>> leavingAddresses, EventLog events) {
+        this.groups = groups;
+        this.leavingAddresses = leavingAddresses;
+        this.events = events;
+    }
+
+    /** Logs the changes; to be called about once a second, by one thread at a time. */
+    public void look() {
+        Set<String> nowEjected =
+                groups.names()
+                        .flatMap(name -> groups.group(name).state().endpoints().values())
+                        .filter(endpoint -> endpoint.health().isEjected())
+                        .map(EndpointState::name)
+                        .toSet();
+        Set<String> wasEjected = ejected.getAndSet(nowEjected);
+        nowEjected.diff(wasEjected).forEach(name -> log(LogEvent.ENDPOINT_EJECTED, name));
+        wasEjected.diff(nowEjected).forEach(name -> log(LogEvent.ENDPOINT_RESTORED, name));
+        Set<String> nowLeaving = leavingAddresses.get();
+        Set<String> wasLeaving = leaving.getAndSet(nowLeaving);
+        nowLeaving.diff(wasLeaving).forEach(address -> log(LogEvent.ENDPOINT_LEAVING, address));
+    }
+
+    private void log(LogEvent event, String endpoint) {
+        events.record(event, HashMap.of("endpoint", endpoint));
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/coordination/RequestJournal.java
@@ -0,0 +1,50 @@
+package org.sequoiaspindle.daemon.coordination;
+
+import io.vavr.collection.HashMap;
+import io.vavr.collection.HashSet;
+import io.vavr.collection.Set;
+import java.util.function.Consumer;
+import org.sequoiaspindle.core.common.EventLog;
+import org.sequoiaspindle.core.common.LogEvent;
+import org.sequoiaspindle.core.protocol.request.Answer;
+import org.sequoiaspindle.core.protocol.request.Reason;
+import org.sequoiaspindle.core.protocol.request.RequestRecord;
+
+/** Logs ended requests: rejected ones as such, the others at level debug. */
+public final class RequestJournal implements Consumer<RequestRecord> {
+
+    private static final Set<Reason> REJECTIONS =
+            HashSet.of(
+                    Reason.UNAUTHENTICATED,
+                    Reason.FORBIDDEN,
+                    Reason.UNKNOWN_PIPELINE,
+                    Reason.MALFORMED);
+
+    private final EventLog events;
+
+    public RequestJournal(EventLog events) {
+        this.events = events;
+    }
+
+    @Override
+    public void accept(RequestRecord record) {
+        Answer answer = record.answer();
+        if (REJECTIONS.contains(answer.reason())) {
+            events.record(LogEvent.REQUEST_REJECTED, HashMap.of("reason", answer.reason().name()));
+            return;
+        }
+        events.record(
+                LogEvent.REQUEST_ENDED,
+                HashMap.of(
+                        "requestId",
+                        answer.requestId().value(),
+                        "pipeline",
+                        record.pipeline(),
+                        "outcome",
+                        answer.outcome().name(),
+                        "reason",
+                        answer.reason().name(),
+                        "durationMs",
+                        record.millis()));
+    }
+}
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/wiring/Daemon.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/wiring/Daemon.java
@@ -27,7 +27,9 @@
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.transport.LeavingObserver;
 import org.sequoiaspindle.daemon.coordination.Drain;
+import org.sequoiaspindle.daemon.coordination.EndpointJournal;
 import org.sequoiaspindle.daemon.coordination.GroupLoads;
+import org.sequoiaspindle.daemon.coordination.RequestJournal;
 import org.sequoiaspindle.daemon.state.Settings;
 import org.sequoiaspindle.daemon.transport.HttpFrontEnd;
 import org.sequoiaspindle.daemon.transport.caller.CallerPorts;
@@ -48,6 +50,12 @@
     /** Interval at which the membership is looked at, in milliseconds. */
     private static final long MEMBERSHIP_MS = 250;
 
+    /** Interval at which changes of endpoints are logged, in milliseconds. */
+    private static final long JOURNAL_MS = 1_000;
+
+    /** Interval at which a missing configuration is logged, in milliseconds. */
+    private static final long REMINDER_MS = 5_000;
+
     private static final double SHARE_TOLERANCE = 0.1;
 
     private final Foundation base;
@@ -57,8 +65,10 @@
     private final Groups groups;
     private final PeerPath peers;
     private final ConfigurationPath configuration;
+    private final RemoteGroups remoteGroups;
     private final RequestHandler handler;
     private final OtelHopTracer tracer;
+    private final RequestJournal journal;
     private final AtomicBoolean readyLogged = new AtomicBoolean();
     private final AtomicReference<Standing> standing = new AtomicReference<>();
 
@@ -80,6 +90,7 @@
                                         settings.instance(),
                                         settings.dataCentre(),
                                         settings.telemetry()));
+        journal = new RequestJournal(events);
         drain = new Drain(settings.drain(), base.delays());
         groups = RequestPath.groups(base);
         Store store =
@@ -88,6 +99,7 @@
         configuration = ConfigurationPath.of(base, store, this::watches, this::adopted);
         EndpointCaller calls = new HttpEndpointCaller(frontEnd.eventLoops(), settings.endpoint());
         peers = PeerPath.of(base, duties(calls), metrics);
+        remoteGroups = new RemoteGroups(peers::remotePeers, base.clock(), base.events());
         EndpointCaller endpoints = new LeavingObserver(calls, membership(), base.clock());
         handler = handler(store, endpoints);
     }
@@ -127,6 +139,12 @@
         configuration.follower().start();
         base.every(ADVANCE_MS, groups::advance);
         base.every(MEMBERSHIP_MS, this::reconfigure);
+        EndpointJournal endpointJournal =
+                new EndpointJournal(
+                        groups, () -> membership().leaving().addresses(), base.events());
+        base.every(JOURNAL_MS, endpointJournal::look);
+        base.every(JOURNAL_MS, remoteGroups::look);
+        base.every(REMINDER_MS, this::remindOfConfiguration);
         Settings settings = base.settings();
         base.events()
                 .record(
@@ -155,10 +173,7 @@
     }
 
     private RequestHandler handler(Store store, EndpointCaller endpoints) {
-        Spillover spillover =
-                new Spillover(
-                        new RemoteGroups(peers::remotePeers, base.clock(), base.events()),
-                        peers.service().forwarder());
+        Spillover spillover = new Spillover(remoteGroups, peers.service().forwarder());
         RequestHandler runner =
                 RequestPath.handler(
                         base,
@@ -174,6 +189,7 @@
     }
 
     private void measure(RequestRecord record) {
+        journal.accept(record);
         for (StageReport attempt : record.answer().stages()) {
             metrics.stageAttempted(
                     attempt.stage(), attempt.group(), attempt.result(), attempt.serviceMillis());
@@ -237,6 +253,12 @@
         return isReady() ? PeerState.SERVING : PeerState.STARTING;
     }
 
+    private void remindOfConfiguration() {
+        if (base.snapshots().current().isNone()) {
+            base.events().record(LogEvent.NO_CONFIGURATION, HashMap.empty());
+        }
+    }
+
     private boolean isReady() {
         return !base.snapshots().current().isNone() && !drain.isDraining();
     }
