Do not punish ordinary variation of service times

Change: only slowness above 2 counts; the learned limit stays at or above the fair share; shares add up to 1.25 of the slots.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/routing/AdaptiveHealth.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/routing/AdaptiveHealth.java
@@ -15,7 +15,12 @@
     private static final int FAILURES_TO_EJECT = 3;
     private static final long FIRST_EJECTION_MS = 1_000;
     private static final int MAX_DOUBLINGS = 5;
-    private static final double LIMIT_DECREASE = 0.8;
+    private static final double LIMIT_DECREASE = 0.95;
+    private static final double LIMIT_INCREASE = 0.25;
+    private static final double REFUSAL_DECREASE = 0.7;
+
+    /** Share of an endpoint's slots that may wait in it before it counts as overloaded. */
+    private static final double TOLERATED_QUEUE = 0.25;
 
     /** Below this age a call says nothing about an endpoint's slowness. */
     private static final long MIN_SLOW_MS = 50;
@@ -31,7 +36,7 @@
                 report.load().map(load -> endpoint.withLoad(load, now)).getOrElse(endpoint);
         return switch (report.kind()) {
             case COMPLETED -> completed(group, adapted(seen, report), call, report, now);
-            case REFUSED -> seen.withLimit(Math.max(1, seen.limit() * LIMIT_DECREASE));
+            case REFUSED -> seen.withLimit(Math.max(1, seen.limit() * REFUSAL_DECREASE));
             case NOT_SENT -> ejected(group, seen, now);
             case FAILED, UNKNOWN -> failed(group, seen, now);
             case CANCELLED -> cancelled(seen, call, now);
@@ -87,16 +92,20 @@
                 .getOrElse(endpoint);
     }
 
+    /**
+     * The limit never falls below the fair share: the shares of all instances add up to the slots,
+     * so a lower limit would leave slots idle. Load reports lag, so one report must not lower it
+     * more than once; the step is small instead.
+     */
     private static double limit(EndpointState endpoint, EndpointLoad load) {
-        if (load.queued() > 0) {
-            double floor = Math.min(endpoint.limit(), endpoint.fairLimit() / 2);
-            return Math.max(floor, endpoint.limit() * LIMIT_DECREASE);
+        if (load.queued() > load.slots() * TOLERATED_QUEUE) {
+            return Math.max(endpoint.fairLimit(), endpoint.limit() * LIMIT_DECREASE);
         }
         boolean bounded = endpoint.inFlight() + 1 >= Math.floor(endpoint.limit());
         if (!bounded || load.running() >= load.slots()) {
             return endpoint.limit();
         }
-        double raised = endpoint.limit() + 1 / Math.max(1, endpoint.limit());
+        double raised = endpoint.limit() + LIMIT_INCREASE / Math.max(1, endpoint.limit());
         return Math.min(endpoint.endpoint().slots(), raised);
     }
 
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/routing/Groups.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/routing/Groups.java
@@ -11,6 +11,12 @@
 /** The schedulers of all endpoint groups of this data centre. Thread-safe. */
 public final class Groups {
 
+    /**
+     * Shares add up to a little more than the slots, because arrivals at instances are uneven; the
+     * endpoints' own queues take the excess.
+     */
+    private static final double OVERCOMMIT = 1.25;
+
     private final String dataCentre;
     private final Policy policy;
     private final MillisClock clock;
@@ -63,6 +69,6 @@
         return new OpenEndpoint(
                 endpoint,
                 endpoint.leaving() || leaving.contains(endpoint.address()),
-                endpoint.slots() * share);
+                Math.min(endpoint.slots(), endpoint.slots() * share * OVERCOMMIT));
     }
 }
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/routing/Room.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/routing/Room.java
@@ -16,6 +16,7 @@
     /** Slower than this is treated as not answering. */
     static final double EJECTION_RATIO = 4;
 
+    private static final double ORDINARY_SLOWNESS = 2;
     private static final long SHORT_EXPECTED_MS = 5_000;
     private static final long MIN_STALL_MS = 200;
     private static final double RECLASSIFY_RATIO = 4;
@@ -57,6 +58,14 @@
         return Math.max(endpoint.slowness(), stall(endpoint, now));
     }
 
+    /**
+     * How much less work an endpoint gets for its slowness. The average rises fast and falls slowly
+     * and so lies above 1 for ordinary variation; only clear slowness counts.
+     */
+    static double penalty(double slowness) {
+        return Math.max(1, slowness / ORDINARY_SLOWNESS);
+    }
+
     private boolean isHealthy(EndpointState endpoint, CallProfile profile, long now) {
         if (!heedsHealth) {
             return true;
@@ -73,7 +82,7 @@
     private boolean endpointHasRoom(EndpointState endpoint, long now) {
         double limit = endpoint.limit();
         if (heedsHealth) {
-            limit = limit / Math.max(1, slownessNow(endpoint, now));
+            limit = limit / penalty(slownessNow(endpoint, now));
         }
         return endpoint.inFlight() < Math.max(1, Math.ceil(limit));
     }
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/routing/Totals.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/routing/Totals.java
@@ -65,7 +65,7 @@
         return new Totals(
                 inFlight + sign * endpoint.inFlight(),
                 limit + sign * open,
-                capacity + sign * open / Math.max(1, endpoint.slowness()),
+                capacity + sign * open / Room.penalty(endpoint.slowness()),
                 runningMs,
                 waitingShort,
                 waitingLong,
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/routing/TwoChoices.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/routing/TwoChoices.java
@@ -63,7 +63,7 @@
                 endpoint.load()
                         .map(load -> occupancy(load) * weight(now - endpoint.loadAt()))
                         .getOrElse(0.0);
-        double slowness = room.heedsHealth() ? Math.max(1, Room.slownessNow(endpoint, now)) : 1;
+        double slowness = room.heedsHealth() ? Room.penalty(Room.slownessNow(endpoint, now)) : 1;
         return (own + reported) * slowness;
     }
 
