--- a/core/src/main/java/org/sequoiaspindle/core/protocol/request/StageCall.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/StageCall.java
@@ -20,6 +20,10 @@
         CallProfile profile,
         String traceParent) {
 
+    String name() {
+        return planned.stage().name();
+    }
+
     boolean idempotent() {
         return planned.stage().idempotent();
     }
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/request/StageRun.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/StageRun.java
@@ -95,7 +95,9 @@
             release(assigned, ticket);
             return;
         }
-        send(services.endpoints(), new Sent(number, profile, ticket, assigned, submittedAt, now()));
+        send(
+                services.endpoints(),
+                new SentAttempt(stage, number, profile, ticket, assigned, submittedAt, now()));
     }
 
     /** Has the stage run in another data centre if possible, else ends the attempt. */
@@ -106,7 +108,8 @@
                         : services.spillover().targets().target(stage.planned().group(), cause);
         if (peer.isDefined() && startCall(number)) {
             Assigned remote = new Assigned(stage.planned().group(), peer.get());
-            Sent sent = new Sent(number, profile, NO_TICKET, remote, submittedAt, now());
+            SentAttempt sent =
+                    new SentAttempt(stage, number, profile, NO_TICKET, remote, submittedAt, now());
             send(services.spillover().forwarder(), sent);
             return;
         }
@@ -122,21 +125,22 @@
 
     private void release(Assigned assigned, long ticket) {
         CallReport unused = new CallReport(CallReport.Kind.CANCELLED, 0, 1, Option.none());
-        group.complete(assigned.endpoint(), ticket, stage.planned().stage().name(), unused);
+        group.complete(assigned.endpoint(), ticket, stage.name(), unused);
     }
 
-    private void send(EndpointCaller caller, Sent sent) {
+    private void send(EndpointCaller caller, SentAttempt sent) {
         HopTracer.Hop hop =
                 services.tracer()
                         .start(
-                                "stage " + stage.planned().stage().name(),
+                                "stage " + stage.name(),
                                 stage.traceParent(),
                                 HashMap.of(
                                         "attempt",
                                         sent.number(),
                                         "endpoint",
                                         sent.assigned().endpoint()));
-        EndpointCall call = call(sent, hop.traceParent());
+        StreamAssembler.Progress progress = state.get().progress();
+        EndpointCall call = sent.call(progress, hop.traceParent());
         StreamAssembler stream =
                 new StreamAssembler(state.get().progress(), token -> passOn(sent.number(), token));
         EndpointExchange exchange = caller.call(call, stream);
@@ -146,26 +150,7 @@
                 exchange.result().thenAccept(result -> ended(sent, call, stream, hop, result)));
     }
 
-    private EndpointCall call(Sent sent, String traceParent) {
-        StreamAssembler.Progress progress = state.get().progress();
-        return new EndpointCall(
-                stage.plan().id(),
-                stage.plan().organisation().name(),
-                stage.planned().stage().name(),
-                sent.number(),
-                sent.assigned().endpoint(),
-                sent.assigned().address(),
-                stage.input(),
-                stage.plan().maxTokens(),
-                progress.position(),
-                progress.text(),
-                stage.sizeClass(),
-                stage.streams(),
-                stage.plan().deadline().remaining(now()),
-                traceParent);
-    }
-
-    private void scheduleHedge(Sent sent) {
+    private void scheduleHedge(SentAttempt sent) {
         if (sent.number() > 1) {
             return;
         }
@@ -183,7 +168,7 @@
                 });
     }
 
-    private void hedge(Sent slow) {
+    private void hedge(SentAttempt slow) {
         boolean stillSilent = state.get().isOnlyAndSilent(slow.number());
         if (!done.isDone() && stillSilent && services.budget().tryExtra()) {
             startAttempt(slow.profile().avoiding(slow.assigned().endpoint()));
@@ -204,7 +189,7 @@
     }
 
     private void ended(
-            Sent sent,
+            SentAttempt sent,
             EndpointCall call,
             StreamAssembler stream,
             HopTracer.Hop hop,
@@ -221,24 +206,15 @@
                                     AttemptEnd.detail(result)));
         }
         boolean cancelled = done.isDone() || state.get().lostTo(sent.number());
-        long serviceMs = now() - sent.sentAt();
-        long size = stage.streams() ? Math.max(1, stream.progress().position()) : sent.size();
+        long endedAt = now();
         cancellations.remove(sent.number());
         group.complete(
                 sent.assigned().endpoint(),
                 sent.ticket(),
-                stage.planned().stage().name(),
-                AttemptEnd.report(result, cancelled, serviceMs, size));
+                stage.name(),
+                AttemptEnd.report(result, cancelled, endedAt - sent.sentAt(), sent.size(stream)));
         hop.end(result.getClass().getSimpleName());
-        StageReport report =
-                new StageReport(
-                        stage.planned().stage().name(),
-                        stage.planned().group(),
-                        sent.assigned().endpoint(),
-                        sent.number(),
-                        result.getClass().getSimpleName(),
-                        sent.sentAt() - sent.submittedAt(),
-                        serviceMs);
+        StageReport report = sent.report(result, endedAt);
         StageRunState after =
                 state.updateAndGet(
                         held -> held.endCall(sent.number(), report, result, stream.progress()));
@@ -259,7 +235,7 @@
         }
     }
 
-    private void retryOrGiveUp(Sent sent, CallResult result, StageRunState held) {
+    private void retryOrGiveUp(SentAttempt sent, CallResult result, StageRunState held) {
         Attempt attempt =
                 new Attempt(
                         stage.idempotent(),
@@ -306,18 +282,4 @@
     private long now() {
         return services.clock().now();
     }
-
-    /** An attempt that has been sent to an endpoint. */
-    private record Sent(
-            int number,
-            CallProfile profile,
-            long ticket,
-            Assigned assigned,
-            long submittedAt,
-            long sentAt) {
-
-        long size() {
-            return profile.size();
-        }
-    }
 }
