Test stages that run in another data centre

Cause: spillover had no test. Change: a data centre without endpoints has its stages run elsewhere; a forwarded payment without verdict is unknown and not sent again; hysteresis.

--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/request/SpilloverTest.java
@@ -0,0 +1,113 @@
+package org.sequoiaspindle.core.protocol.request;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.collection.HashSet;
+import io.vavr.control.Option;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.common.EventLog;
+import org.sequoiaspindle.core.coordination.policy.Policies;
+import org.sequoiaspindle.core.coordination.retry.RetryBudget;
+import org.sequoiaspindle.core.coordination.retry.RetryRule;
+import org.sequoiaspindle.core.coordination.routing.Groups;
+import org.sequoiaspindle.core.coordination.routing.Placement.RefusalCause;
+import org.sequoiaspindle.core.coordination.routing.SpillState;
+import org.sequoiaspindle.core.fake.FaultyEndpoints;
+import org.sequoiaspindle.core.fake.SampleSet;
+import org.sequoiaspindle.core.fake.VirtualTime;
+import org.sequoiaspindle.core.protocol.endpoint.CallResult;
+import org.sequoiaspindle.core.protocol.endpoint.EndpointCaller;
+import org.sequoiaspindle.core.protocol.endpoint.EndpointExchange;
+import org.sequoiaspindle.core.state.Outcome;
+import org.sequoiaspindle.core.state.RequestId;
+import org.sequoiaspindle.core.state.Snapshot;
+import org.sequoiaspindle.core.state.SnapshotHolder;
+
+/** Guards requests of a data centre that has no endpoint of its own for a stage. */
+final class SpilloverTest {
+
+    private static final String PEER = "10.0.0.9:1";
+
+    private final VirtualTime time = new VirtualTime(1_000, new Random(1));
+    private final FaultyEndpoints endpoints = new FaultyEndpoints(time, 1, 0);
+    private final SnapshotHolder snapshots = new SnapshotHolder();
+
+    @Test
+    void stageWithoutLocalEndpointRunsInAnotherDataCentre() {
+        Answer answer = run(remote(), "chat");
+        String retrieved = FaultyEndpoints.answerTo("retrieve", "question");
+        assertEquals(Outcome.ANSWERED, answer.outcome());
+        assertEquals(FaultyEndpoints.answerTo("generate", retrieved), answer.output());
+    }
+
+    @Test
+    void forwardedPaymentWithoutVerdictIsUnknownAndNotSentAgain() {
+        int[] sent = {0};
+        EndpointCaller broken =
+                (call, sink) -> {
+                    sent[0]++;
+                    CallResult lost = new CallResult.Unknown("the link broke");
+                    return new EndpointExchange(CompletableFuture.completedFuture(lost), () -> {});
+                };
+        assertEquals(Outcome.UNKNOWN, run(broken, "payment").outcome());
+        assertEquals(1, sent[0]);
+    }
+
+    @Test
+    void lackOfTimeSpillsFromTheSecondRefusalAndEndsAfterAQuietTime() {
+        SpillState once = SpillState.none().refused(RefusalCause.NO_TIME, 10_000);
+        SpillState twice = once.refused(RefusalCause.NO_TIME, 10_100);
+        assertTrue(!once.isSpilling(10_000) && twice.isSpilling(10_100));
+        assertTrue(!twice.isSpilling(15_200));
+        assertTrue(SpillState.none().refused(RefusalCause.NO_ENDPOINT, 0).isSpilling(0));
+    }
+
+    private Answer run(EndpointCaller forwarder, String pipeline) {
+        snapshots.adopt(Snapshot.of(1, SampleSet.withEndpoints(2, 4)));
+        Groups none = groups("elsewhere");
+        RequestServices services =
+                new RequestServices(
+                        none,
+                        endpoints,
+                        new Spillover((group, cause) -> Option.of(PEER), forwarder),
+                        RetryRule.SAFE,
+                        HedgeRule.NEVER,
+                        new RetryBudget(0.1),
+                        time,
+                        time,
+                        HopTracer.NONE,
+                        EventLog.NONE,
+                        () -> new RequestId("r1"),
+                        record -> {});
+        CallerRequest request =
+                new CallerRequest(
+                        "county",
+                        SampleSet.secret("county"),
+                        pipeline,
+                        "question",
+                        FaultyEndpoints.TOKENS,
+                        Option.none(),
+                        Option.none(),
+                        "");
+        CompletableFuture<Answer> answer =
+                new RequestRunner(snapshots, services, ClaimGate.OPEN, () -> 1.0)
+                        .handle(request, token -> true)
+                        .toCompletableFuture();
+        time.advance(10_000);
+        return answer.getNow(null);
+    }
+
+    /** The other data centre, reached without a link. */
+    private EndpointCaller remote() {
+        return new ForwardedCalls(snapshots, groups(SampleSet.DATA_CENTRE), endpoints, time);
+    }
+
+    private Groups groups(String dataCentre) {
+        Groups groups = new Groups(dataCentre, Policies.chosen(), time, time);
+        groups.reconfigure(Snapshot.of(1, SampleSet.withEndpoints(2, 4)), HashSet.empty(), 1);
+        return groups;
+    }
+}
