Close the idle connections to an endpoint when one goes silent

Cause: after a link to an endpoint had gone silent for its open connections, each retry took another of these connections from the idle pool and waited for the first-byte limit again. A request that may be repeated failed after three attempts of 1002 ms each with 8 s of its deadline left, although new connections to the same endpoint worked (SilentConnectionTest before this change: outcome FAILED, NO_VERDICT, three attempts Unknown).

Change: the first-byte limit and the idle limit close the idle connections to the address too, so that the retry opens a new one.

Measured: SilentConnectionTest fails without and passes with the change; HttpEndpointCallerTest passes (15 tests).

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/EndpointConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/EndpointConnection.java
@@ -187,11 +187,15 @@
             return;
         }
         if (!answerStarted) {
+            // Whatever silenced this connection may have silenced the idle ones to the endpoint; a
+            // retry on one of them would wait for the limit once more.
+            idle.closeAll(address);
             abort(watched, "no answer within " + limits.firstByteMillis() + " ms");
             return;
         }
         long silentMillis = (System.nanoTime() - lastReadNanos) / 1_000_000;
         if (silentMillis >= limits.idleMillis()) {
+            idle.closeAll(address);
             abort(watched, "silent for " + limits.idleMillis() + " ms");
             return;
         }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/IdleConnections.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/IdleConnections.java
@@ -51,6 +51,14 @@
         return idle == null ? 0 : idle.get().size();
     }
 
+    /** Closes the connections to an address. */
+    void closeAll(String address) {
+        AtomicReference<List<Channel>> idle = byAddress.get(address);
+        if (idle != null) {
+            idle.getAndSet(List.empty()).forEach(Channel::close);
+        }
+    }
+
     /** Closes every connection. */
     void closeAll() {
         byAddress.values().forEach(idle -> idle.getAndSet(List.empty()).forEach(Channel::close));
