Test at most once with daemon processes that are killed and paused

Cause: no test ran a payment while a real daemon process was killed, stopped or cut off from the store.

Change: a harness starts daemons as processes against embedded stand-ins, publishes a set, sends requests and signals processes.

--- /dev/null
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/failure/Installation.java
@@ -0,0 +1,164 @@
+package org.sequoiaspindle.daemon.failure;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
+import org.sequoiaspindle.core.common.Closer;
+import org.sequoiaspindle.standins.transport.PlatformServer;
+
+/** A platform stand-in and daemon processes that use it. */
+final class Installation implements AutoCloseable {
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+    private static final HttpClient CLIENT =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    private final Closer closer = new Closer();
+    private final PlatformServer platform;
+    private final List<String> peers = new CopyOnWriteArrayList<>();
+    private final Path directory;
+
+    Installation() {
+        this(PlatformServer.start());
+        closer.register(platform);
+    }
+
+    private Installation(PlatformServer platform) {
+        this.platform = platform;
+        try {
+            directory = Files.createTempDirectory(Path.of("target"), "failure");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    PlatformServer platform() {
+        return platform;
+    }
+
+    /** Instances that use the same platform and do not know those of this installation. */
+    Installation sharingThePlatform() {
+        return new Installation(platform);
+    }
+
+    /** Closes a stand-in together with the installation. */
+    <T extends AutoCloseable> T with(T standin) {
+        return closer.register(standin);
+    }
+
+    /** Starts an instance with the settings that all tests share. */
+    Instance start(String name) {
+        return start(name, settings -> settings);
+    }
+
+    /** Starts an instance; the change is applied to its settings first. */
+    Instance start(String name, UnaryOperator<ObjectNode> change) {
+        Instance instance =
+                closer.register(Instance.start(directory, change.apply(settings(name))));
+        if (!instance.peer().isEmpty()) {
+            peers.add(instance.peer());
+        }
+        return instance;
+    }
+
+    /** Starts instances at the same time and waits until they are ready. */
+    Map<String, Instance> startReady(String... names) {
+        Map<String, Instance> started = new ConcurrentHashMap<>();
+        Await.value(
+                CompletableFuture.allOf(
+                        Stream.of(names)
+                                .map(
+                                        name ->
+                                                CompletableFuture.runAsync(
+                                                        () -> started.put(name, start(name))))
+                                .toArray(CompletableFuture[]::new)));
+        awaitReady(started.values().toArray(Instance[]::new));
+        return started;
+    }
+
+    /** Publishes the first configuration and waits until it is in force at the instances. */
+    void publishFirst(String objectSet, Instance... instances) {
+        HttpResponse<String> published = Await.value(publish(instances[0], "olga", objectSet, 0));
+        assertEquals(200, published.statusCode(), published.body());
+        awaitReady(instances);
+    }
+
+    void awaitReady(Instance... instances) {
+        List.of(instances)
+                .forEach(instance -> Await.until(instance.name() + " ready", instance::isReady));
+    }
+
+    /** Publishes an object set as an operator; the answer may be any. */
+    CompletableFuture<HttpResponse<String>> publish(
+            Instance instance, String operator, String objectSet, long base) {
+        return CLIENT.sendAsync(
+                operatorRequest(
+                                instance,
+                                operator,
+                                "/v1/configuration?base="
+                                        + base
+                                        + "&submission="
+                                        + UUID.randomUUID())
+                        .PUT(HttpRequest.BodyPublishers.ofString(objectSet))
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Generation of the configuration in force at an instance. */
+    long generation(Instance instance) {
+        HttpRequest request = operatorRequest(instance, "olga", "/v1/status").build();
+        HttpResponse<String> status =
+                Await.value(CLIENT.sendAsync(request, HttpResponse.BodyHandlers.ofString()));
+        return Caller.json(status.body()).path("generation").asLong(-1);
+    }
+
+    @Override
+    public void close() {
+        closer.close();
+    }
+
+    private static HttpRequest.Builder operatorRequest(
+            Instance instance, String operator, String path) {
+        return HttpRequest.newBuilder(URI.create("http://" + instance.http() + path))
+                .header("Authorization", "Bearer " + operator + ":" + ObjectSets.secret(operator));
+    }
+
+    private ObjectNode settings(String name) {
+        ObjectNode settings =
+                MAPPER.createObjectNode()
+                        .put("instance", name)
+                        .put("dataCentre", ObjectSets.DATA_CENTRE)
+                        .put("drainGraceMs", 200);
+        settings.putObject("http").put("host", "127.0.0.1").put("port", 0);
+        ArrayNode known =
+                settings.putObject("peer")
+                        .put("host", "127.0.0.1")
+                        .put("port", 0)
+                        .put("secret", "shared-secret-of-the-tests")
+                        .putArray("peers");
+        peers.forEach(known::add);
+        settings.putObject("platform").put("address", platform.address());
+        settings.putObject("bootstrapOperator")
+                .put("name", "olga")
+                .put("secretHash", ObjectSets.secretHash("olga"));
+        return settings;
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/failure/Instance.java
@@ -0,0 +1,157 @@
+package org.sequoiaspindle.daemon.failure;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+
+/** One daemon in a process of its own. */
+final class Instance implements AutoCloseable {
+
+    private static final HttpClient CLIENT =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+    private final String name;
+    private final Process process;
+    private final JsonNode addresses;
+
+    private Instance(String name, Process process, JsonNode addresses) {
+        this.name = name;
+        this.process = process;
+        this.addresses = addresses;
+    }
+
+    /** Starts a daemon and waits until it listens; its files go to the directory. */
+    static Instance start(Path directory, ObjectNode settings) {
+        String name = settings.path("instance").asText();
+        try {
+            Path file = Files.createTempFile(directory, name, ".json");
+            Path log = Files.createTempFile(directory, name, ".log");
+            Files.writeString(file, settings.toString());
+            Process process =
+                    new ProcessBuilder(
+                                    Path.of(System.getProperty("java.home"), "bin/java").toString(),
+                                    "-Xmx256m",
+                                    "-XX:+UseSerialGC",
+                                    "-XX:TieredStopAtLevel=1",
+                                    "-cp",
+                                    System.getProperty(
+                                            "surefire.test.class.path",
+                                            System.getProperty("java.class.path")),
+                                    "org.sequoiaspindle.daemon.transport.DaemonMain",
+                                    "--settings",
+                                    file.toString())
+                            .redirectErrorStream(true)
+                            .redirectOutput(log.toFile())
+                            .start();
+            Await.until(
+                    "instance " + name + " started, log " + log,
+                    () -> started(log).isPresent() || !process.isAlive());
+            return new Instance(
+                    name,
+                    process,
+                    started(log)
+                            .orElseThrow(
+                                    () ->
+                                            new IllegalStateException(
+                                                    "ended at once: " + text(log))));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    String name() {
+        return name;
+    }
+
+    /** Address of the front end for callers and operators. */
+    String http() {
+        return addresses.path("http").asText();
+    }
+
+    /** Address of the link to other instances; empty if the daemon has none. */
+    String peer() {
+        return addresses.path("peer").asText("");
+    }
+
+    boolean isReady() {
+        return readyStatus() == 200;
+    }
+
+    /** HTTP status of the readiness check, 0 if the instance does not answer. */
+    int readyStatus() {
+        try {
+            HttpRequest request =
+                    HttpRequest.newBuilder(URI.create("http://" + http() + "/health/ready"))
+                            .build();
+            return CLIENT.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
+        } catch (IOException e) {
+            return 0;
+        } catch (InterruptedException e) {
+            throw new IllegalStateException("interrupted", e);
+        }
+    }
+
+    /** Waits for the end of the process and gives its exit code. */
+    int exitCode() {
+        return Await.value(process.onExit()).exitValue();
+    }
+
+    /** Ends the process without giving it a chance to act (kill -9). */
+    void kill() {
+        process.destroyForcibly();
+        Await.value(process.onExit());
+    }
+
+    /** Asks the process to stop (SIGTERM). */
+    void terminate() {
+        signal("TERM");
+    }
+
+    /** Stops the execution of the process until it is resumed. */
+    void pause() {
+        signal("STOP");
+    }
+
+    void resume() {
+        signal("CONT");
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+
+    private void signal(String signal) {
+        try {
+            Process kill =
+                    new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start();
+            Await.value(kill.onExit());
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static Optional<JsonNode> started(Path log) {
+        return text(log)
+                .lines()
+                .filter(line -> line.contains("daemon started") && line.endsWith("}"))
+                .findFirst()
+                .map(line -> Caller.json(line).path("fields"));
+    }
+
+    private static String text(Path log) {
+        try {
+            return Files.readString(log);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/failure/Reply.java
@@ -0,0 +1,48 @@
+package org.sequoiaspindle.daemon.failure;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * What a caller got.
+ *
+ * @param status HTTP status, 0 if the connection was refused or broke
+ * @param body the JSON answer or the data of the outcome event; missing if there was none
+ * @param events names of the events of a stream in order, empty for other answers
+ * @param tokens data of the token events in order
+ * @param failure why there is no whole answer
+ */
+record Reply(
+        int status,
+        JsonNode body,
+        List<String> events,
+        List<JsonNode> tokens,
+        Optional<Throwable> failure) {
+
+    static Reply broken(Throwable failure) {
+        return new Reply(0, MissingNode.getInstance(), List.of(), List.of(), Optional.of(failure));
+    }
+
+    boolean isBroken() {
+        return failure.isPresent();
+    }
+
+    String outcome() {
+        return body.path("outcome").asText("");
+    }
+
+    boolean isAnswered() {
+        return outcome().equals("ANSWERED");
+    }
+
+    String answer() {
+        return body.path("answer").asText();
+    }
+
+    /** Texts of the tokens of a stream, joined. */
+    String streamed() {
+        return String.join("", tokens.stream().map(token -> token.path("text").asText()).toList());
+    }
+}
