Test that endpoints that mix results cannot mix the answers of callers

Cause: duplicate, reordered, cut and foreign answers were tested on single calls, not on concurrent requests of several organisations.

Change: 180 requests of three organisations at two instances, over five engines and three supporting services with one fault each on 30% of calls. Answers and streams are compared with those of the own input over the whole chain of stages.

--- /dev/null
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/failure/MixedResultsTest.java
@@ -0,0 +1,159 @@
+package org.sequoiaspindle.daemon.failure;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.standins.state.EndpointFault;
+import org.sequoiaspindle.standins.state.EndpointFault.Mode;
+import org.sequoiaspindle.standins.state.EngineOptions;
+import org.sequoiaspindle.standins.state.ServiceOptions;
+import org.sequoiaspindle.standins.transport.EndpointServer;
+import org.sequoiaspindle.standins.transport.EngineServer;
+import org.sequoiaspindle.standins.transport.ServiceServer;
+
+/** Guards against answers that reach another caller, or are incomplete, doubled or out of order. */
+final class MixedResultsTest {
+
+    private static final long DEADLINE_MS = 20_000;
+    private static final int REQUESTS_PER_ORGANISATION = 60;
+    private static final int MIN_TOKENS = 8;
+    private static final double FAULTY_SHARE = 0.3;
+    private static final List<Mode> ENGINE_FAULTS =
+            List.of(
+                    Mode.DUPLICATE,
+                    Mode.REORDER,
+                    Mode.CUT,
+                    Mode.WRONG_ID,
+                    Mode.CLOSE_BEFORE_ANSWER);
+    private static final List<Mode> SUPPORT_FAULTS =
+            List.of(Mode.WRONG_ID, Mode.CUT, Mode.CLOSE_BEFORE_ANSWER);
+
+    private static final Installation INSTALLATION = new Installation();
+    private static final List<EndpointServer> ENGINES =
+            ENGINE_FAULTS.stream().map(MixedResultsTest::faultyEngine).toList();
+    private static final List<EndpointServer> SUPPORT =
+            SUPPORT_FAULTS.stream().map(MixedResultsTest::faultyService).toList();
+    private static Instance first;
+    private static Instance second;
+
+    /** A request and what was asked. */
+    private record Asked(
+            String organisation,
+            String input,
+            int tokens,
+            boolean streams,
+            CompletableFuture<Reply> reply) {
+
+        String expected() {
+            return EngineServer.expectedAnswer(ObjectSets.engineInput(input), tokens);
+        }
+    }
+
+    @BeforeAll
+    static void publish() {
+        first = INSTALLATION.start("first");
+        INSTALLATION.publishFirst(
+                ObjectSets.of(Map.of("support", addresses(SUPPORT), "engines", addresses(ENGINES))),
+                first);
+        second = INSTALLATION.startReady("second").get("second");
+    }
+
+    @AfterAll
+    static void close() {
+        INSTALLATION.close();
+    }
+
+    @Test
+    void eachAnsweredCallerHasTheWholeAnswerOfItsOwnInputWhileAllEndpointsMixResults() {
+        List<Asked> all = new ArrayList<>();
+        for (int index = 0; index < REQUESTS_PER_ORGANISATION; index++) {
+            for (String organisation : ObjectSets.ORGANISATIONS) {
+                all.add(ask(organisation, index));
+            }
+        }
+        all.forEach(asked -> Await.value(asked.reply()));
+        all.forEach(MixedResultsTest::check);
+        for (String organisation : ObjectSets.ORGANISATIONS) {
+            long answered =
+                    all.stream()
+                            .filter(asked -> asked.organisation().equals(organisation))
+                            .filter(asked -> asked.reply().join().isAnswered())
+                            .count();
+            assertTrue(answered > 0, "no answer for " + organisation);
+        }
+        Stream.concat(ENGINES.stream(), SUPPORT.stream())
+                .forEach(endpoint -> assertTrue(endpoint.stats().get("started") > 0));
+    }
+
+    private static Asked ask(String organisation, int index) {
+        String input = organisation + " asks question " + index;
+        int tokens = MIN_TOKENS + index % 24;
+        boolean streams = index % 4 != 0;
+        Instance instance = index % 2 == 0 ? first : second;
+        Caller caller = new Caller(organisation);
+        CompletableFuture<Reply> reply =
+                streams
+                        ? caller.chat(instance, input, tokens, DEADLINE_MS)
+                        : caller.chatWhole(instance, input, tokens, DEADLINE_MS);
+        return new Asked(organisation, input, tokens, streams, reply);
+    }
+
+    private static void check(Asked asked) {
+        Reply reply = asked.reply().join();
+        assertFalse(reply.isBroken(), asked.input() + ": " + reply.failure());
+        assertFalse(reply.outcome().isEmpty(), asked.input() + " has no outcome");
+        if (reply.isAnswered()) {
+            assertEquals(asked.expected(), reply.answer(), asked.input());
+        }
+        if (asked.streams()) {
+            checkStream(asked, reply);
+        }
+    }
+
+    private static void checkStream(Asked asked, Reply reply) {
+        int tokens = reply.tokens().size();
+        assertEquals(tokens + 1, reply.events().size(), asked.input());
+        assertEquals("outcome", reply.events().get(tokens), asked.input());
+        for (int position = 0; position < tokens; position++) {
+            assertEquals(
+                    position,
+                    reply.tokens().get(position).path("position").asInt(-1),
+                    asked.input());
+        }
+        assertTrue(
+                asked.expected().startsWith(reply.streamed()),
+                () -> asked.input() + " got " + reply.streamed());
+        if (reply.isAnswered()) {
+            assertEquals(asked.tokens(), tokens, asked.input());
+        }
+    }
+
+    private static EndpointServer faultyEngine(Mode mode) {
+        return faulty(
+                EngineServer.start(EngineOptions.of(Map.of("tokenMs", "2", "slots", "64"))), mode);
+    }
+
+    private static EndpointServer faultyService(Mode mode) {
+        return faulty(
+                ServiceServer.start(ServiceOptions.of(Map.of("serviceMs", "10", "slots", "64"))),
+                mode);
+    }
+
+    private static EndpointServer faulty(EndpointServer endpoint, Mode mode) {
+        endpoint.fault(EndpointFault.of(mode).withShare(FAULTY_SHARE));
+        return INSTALLATION.with(endpoint);
+    }
+
+    private static List<String> addresses(List<EndpointServer> endpoints) {
+        return endpoints.stream().map(EndpointServer::address).toList();
+    }
+}
