Test that NOT_RUN is told only of payments without an execution

Cause: the outcomes of refused, unsent and cut-off calls were not compared with what the service had executed.

Change: payments at endpoints that refuse, have no listener, close, cut or answer with a foreign id; NOT_RUN is matched with 0 executions and any other outcome with 1. A payment that was not run may be repeated under its key.

--- /dev/null
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/failure/NotRunTest.java
@@ -0,0 +1,144 @@
+package org.sequoiaspindle.daemon.failure;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.standins.state.EndpointFault;
+import org.sequoiaspindle.standins.state.EndpointFault.Mode;
+import org.sequoiaspindle.standins.state.ServiceOptions;
+import org.sequoiaspindle.standins.transport.ServiceServer;
+
+/** Guards against an outcome NOT_RUN, which invites a repeat, for a payment that may have run. */
+final class NotRunTest {
+
+    private static final long DEADLINE_MS = 10_000;
+    private static final int PAYMENTS = 40;
+
+    private static final Installation INSTALLATION = new Installation();
+    private static final ServiceServer REFUSING = service();
+    private static final ServiceServer FAULTY = service();
+    private static Instance instance;
+    private static long generation;
+
+    private final Caller caller = new Caller("gamma");
+
+    @BeforeAll
+    static void publish() {
+        instance = INSTALLATION.start("entry");
+        INSTALLATION.publishFirst(fees(REFUSING.address()), instance);
+        generation = INSTALLATION.generation(instance);
+    }
+
+    @AfterAll
+    static void close() {
+        INSTALLATION.close();
+    }
+
+    @AfterEach
+    void heal() {
+        REFUSING.fault(EndpointFault.none());
+        FAULTY.fault(EndpointFault.none());
+    }
+
+    @Test
+    void paymentIsNotRunWhereEveryEndpointRefusesOrIsDownAndMayBeRepeatedUnderItsKey()
+            throws IOException {
+        publishFees(REFUSING.address(), addressWithoutListener());
+        REFUSING.fault(EndpointFault.of(Mode.REFUSE));
+        List<String> keys = new ArrayList<>();
+        List<CompletableFuture<Reply>> replies = new ArrayList<>();
+        for (int index = 0; index < PAYMENTS; index++) {
+            keys.add(Caller.newKey());
+            replies.add(caller.pay(instance, "refused " + index, keys.get(index), DEADLINE_MS));
+        }
+        replies.forEach(reply -> assertEquals("NOT_RUN", Await.value(reply).outcome()));
+        for (int index = 0; index < PAYMENTS; index++) {
+            assertEquals(0, executions("refused " + index));
+        }
+        assertTrue(REFUSING.stats().get("refused") > 0);
+        publishFees(FAULTY.address());
+        Reply repeated = Await.value(caller.pay(instance, "refused 0", keys.get(0), DEADLINE_MS));
+        assertEquals(ServiceServer.expectedOutput("pay", "refused 0"), repeated.answer());
+        assertEquals(1, FAULTY.executions().ofInput("refused 0"));
+    }
+
+    @Test
+    void paymentThatRanWithoutAnAnswerIsUnknownAndNeverNotRun() throws IOException {
+        publishFees(FAULTY.address());
+        for (Mode mode : List.of(Mode.CLOSE_BEFORE_ANSWER, Mode.CUT, Mode.WRONG_ID)) {
+            FAULTY.fault(EndpointFault.of(mode));
+            String keyed = mode + " keyed";
+            String key = Caller.newKey();
+            for (int repeat = 0; repeat < 2; repeat++) {
+                Reply reply = Await.value(caller.pay(instance, keyed, key, DEADLINE_MS));
+                assertEquals("UNKNOWN", reply.outcome(), keyed + ": " + reply.body());
+            }
+            assertEquals(1, FAULTY.executions().ofInput(keyed), keyed);
+            Reply reply = Await.value(caller.pay(instance, mode + " keyless", DEADLINE_MS));
+            assertEquals("UNKNOWN", reply.outcome(), mode + ": " + reply.body());
+            assertEquals(1, FAULTY.executions().ofInput(mode + " keyless"), mode.name());
+        }
+    }
+
+    @Test
+    void notRunMeansNoExecutionWhileRefusingDeadAndClosingEndpointsAreMixed() throws IOException {
+        publishFees(REFUSING.address(), addressWithoutListener(), FAULTY.address());
+        REFUSING.fault(EndpointFault.of(Mode.REFUSE).withShare(0.5));
+        FAULTY.fault(EndpointFault.of(Mode.CLOSE_BEFORE_ANSWER).withShare(0.5));
+        List<CompletableFuture<Reply>> replies = new ArrayList<>();
+        for (int index = 0; index < PAYMENTS; index++) {
+            replies.add(caller.pay(instance, "mixed " + index, DEADLINE_MS));
+        }
+        Set<String> outcomes = new TreeSet<>();
+        for (int index = 0; index < PAYMENTS; index++) {
+            Reply reply = Await.value(replies.get(index));
+            outcomes.add(reply.outcome());
+            long expected = reply.outcome().equals("NOT_RUN") ? 0 : 1;
+            assertEquals(expected, executions("mixed " + index), reply.body().toString());
+            if (reply.isAnswered()) {
+                assertEquals(ServiceServer.expectedOutput("pay", "mixed " + index), reply.answer());
+            }
+        }
+        assertTrue(outcomes.containsAll(Set.of("ANSWERED", "UNKNOWN")), outcomes.toString());
+    }
+
+    private static long executions(String input) {
+        return REFUSING.executions().ofInput(input) + FAULTY.executions().ofInput(input);
+    }
+
+    private static void publishFees(String... addresses) {
+        var published =
+                Await.value(INSTALLATION.publish(instance, "olga", fees(addresses), generation));
+        assertEquals(200, published.statusCode(), published.body());
+        generation = Caller.json(published.body()).path("generation").asLong();
+        Await.until("in force", () -> INSTALLATION.generation(instance) == generation);
+    }
+
+    private static String fees(String... addresses) {
+        return ObjectSets.of(Map.of("fees", List.of(addresses)));
+    }
+
+    private static ServiceServer service() {
+        return INSTALLATION.with(
+                ServiceServer.start(ServiceOptions.of(Map.of("serviceMs", "20", "slots", "64"))));
+    }
+
+    private static String addressWithoutListener() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+    }
+}
