Test that silent connections to endpoints and the store are replaced

Cause: no test silenced established connections of a running daemon.

Change: a link that passes no more bytes lies before the only endpoint of a service, before one of two engines in the middle of streams, and before the platform. Requests are answered, streams are completed by the other engine, and two publications come into force at an instance that has no peers.

The second one was not run against a weakened daemon.

--- /dev/null
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/failure/SilentConnectionTest.java
@@ -0,0 +1,164 @@
+package org.sequoiaspindle.daemon.failure;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.coordination.retry.RetryRule;
+import org.sequoiaspindle.standins.state.EngineOptions;
+import org.sequoiaspindle.standins.state.ServiceOptions;
+import org.sequoiaspindle.standins.transport.EngineServer;
+import org.sequoiaspindle.standins.transport.LinkProxy;
+import org.sequoiaspindle.standins.transport.ServiceServer;
+
+/** Guards against waiting for connections that stay open but pass no bytes any more. */
+final class SilentConnectionTest {
+
+    private static final long DEADLINE_MS = 12_000;
+    private static final long SILENCE_LIMIT_MS = 1000;
+
+    /**
+     * Rounds of ordinary requests, which open more connections than a stage has attempts and earn
+     * the extra attempts of the retries: 1 for 10 requests.
+     */
+    private static final int ORDINARY_ROUNDS = 12;
+
+    private static final int AT_ONCE = 8;
+    private static final int STREAMS = 4;
+    private static final int TOKENS = 40;
+
+    private static final Installation INSTALLATION = new Installation();
+    private static final ServiceServer ACCOUNTS =
+            INSTALLATION.with(
+                    ServiceServer.start(
+                            ServiceOptions.of(Map.of("serviceMs", "50", "slots", "64"))));
+    private static final ServiceServer SUPPORT =
+            INSTALLATION.with(
+                    ServiceServer.start(
+                            ServiceOptions.of(Map.of("serviceMs", "5", "slots", "64"))));
+    private static final EngineServer ENGINE = engine();
+    private static final EngineServer OTHER_ENGINE = engine();
+    private static final LinkProxy ACCOUNTS_LINK =
+            INSTALLATION.with(LinkProxy.start(ACCOUNTS.address()));
+    private static final LinkProxy ENGINE_LINK =
+            INSTALLATION.with(LinkProxy.start(ENGINE.address()));
+    private static final LinkProxy PLATFORM_LINK =
+            INSTALLATION.with(LinkProxy.start(INSTALLATION.platform().address()));
+
+    private static Instance entry;
+    private static Instance isolated;
+
+    private final Caller caller = new Caller("alpha");
+
+    @BeforeAll
+    static void publish() {
+        entry =
+                INSTALLATION.start(
+                        "entry",
+                        settings ->
+                                settings.put("endpointFirstByteMs", SILENCE_LIMIT_MS)
+                                        .put("endpointIdleMs", SILENCE_LIMIT_MS));
+        isolated = INSTALLATION.start("isolated", SilentConnectionTest::behindTheLink);
+        INSTALLATION.publishFirst(objectSet(), entry, isolated);
+    }
+
+    @AfterAll
+    static void close() {
+        INSTALLATION.close();
+    }
+
+    @AfterEach
+    void heal() {
+        Await.value(ACCOUNTS_LINK.heal());
+        Await.value(ENGINE_LINK.heal());
+        Await.value(PLATFORM_LINK.heal());
+    }
+
+    @Test
+    void requestsOnSilentConnectionsOfTheOnlyEndpointAreAnsweredOnNewOnes() {
+        serveOrdinaryRequests();
+        assertTrue(ACCOUNTS_LINK.report().open() > RetryRule.MAX_ATTEMPTS);
+        Await.value(ACCOUNTS_LINK.silenceExisting());
+        lookUpAtOnce(1);
+        lookUpAtOnce(AT_ONCE);
+    }
+
+    @Test
+    void streamsThatGoSilentHalfwayAreCompletedByAnotherEngine() {
+        serveOrdinaryRequests();
+        List<CompletableFuture<Reply>> replies = new ArrayList<>();
+        for (int index = 0; index < STREAMS; index++) {
+            replies.add(caller.chat(entry, "stream " + index, TOKENS, DEADLINE_MS));
+        }
+        Await.until("the engine behind the link runs a stream", () -> ENGINE.load().running() > 0);
+        Await.value(ENGINE_LINK.silenceAll());
+        for (int index = 0; index < replies.size(); index++) {
+            Reply reply = Await.value(replies.get(index));
+            String expected =
+                    EngineServer.expectedAnswer(ObjectSets.engineInput("stream " + index), TOKENS);
+            assertEquals("ANSWERED", reply.outcome(), reply.toString());
+            assertEquals(expected, reply.answer());
+            assertEquals(expected, reply.streamed());
+        }
+    }
+
+    @Test
+    void publicationComesIntoForceAtAnInstanceWhoseStoreConnectionsWentSilent() {
+        for (int round = 0; round < 2; round++) {
+            long generation = INSTALLATION.generation(entry);
+            assertEquals(generation, INSTALLATION.generation(isolated));
+            Await.value(PLATFORM_LINK.silenceExisting());
+            var published =
+                    Await.value(INSTALLATION.publish(entry, "otto", objectSet(), generation));
+            assertEquals(200, published.statusCode(), published.body());
+            Await.until("in force", () -> INSTALLATION.generation(isolated) == generation + 1);
+            Await.until("in force", () -> INSTALLATION.generation(entry) == generation + 1);
+        }
+    }
+
+    private void serveOrdinaryRequests() {
+        for (int round = 0; round < ORDINARY_ROUNDS; round++) {
+            lookUpAtOnce(AT_ONCE);
+        }
+    }
+
+    private void lookUpAtOnce(int count) {
+        List<CompletableFuture<Reply>> replies = new ArrayList<>();
+        for (int index = 0; index < count; index++) {
+            replies.add(caller.lookUp(entry, "account " + index, DEADLINE_MS));
+        }
+        for (int index = 0; index < count; index++) {
+            Reply reply = Await.value(replies.get(index));
+            assertEquals("ANSWERED", reply.outcome(), reply.toString());
+            assertEquals(ServiceServer.expectedOutput("find", "account " + index), reply.answer());
+        }
+    }
+
+    /** With another secret the instance has no peers and learns of changes only from the store. */
+    private static ObjectNode behindTheLink(ObjectNode settings) {
+        settings.putObject("platform").put("address", PLATFORM_LINK.address());
+        ((ObjectNode) settings.get("peer")).put("secret", "secret-of-another-installation");
+        return settings;
+    }
+
+    private static String objectSet() {
+        return ObjectSets.of(
+                Map.of(
+                        "accounts", List.of(ACCOUNTS_LINK.address()),
+                        "support", List.of(SUPPORT.address()),
+                        "engines", List.of(ENGINE_LINK.address(), OTHER_ENGINE.address())));
+    }
+
+    private static EngineServer engine() {
+        return INSTALLATION.with(
+                EngineServer.start(EngineOptions.of(Map.of("tokenMs", "25", "slots", "64"))));
+    }
+}
