Test publication races, stale reads and restarts while the store is down

Change: two operators publish at once through different instances, also with lost answers of the store: one wins, the other is told generation and operator.

--- /dev/null
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/failure/ConfigurationInForceTest.java
@@ -0,0 +1,146 @@
+package org.sequoiaspindle.daemon.failure;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.standins.state.PlatformFault;
+import org.sequoiaspindle.standins.state.PlatformFault.Mode;
+import org.sequoiaspindle.standins.state.ServiceOptions;
+import org.sequoiaspindle.standins.transport.PlatformServer;
+import org.sequoiaspindle.standins.transport.ServiceServer;
+
+/** Guards against configurations that are lost, overwritten unseen or taken back. */
+final class ConfigurationInForceTest {
+
+    private static final long DEADLINE_MS = 10_000;
+    private static final int ROUNDS = 5;
+
+    private static final Installation INSTALLATION = new Installation();
+    private static final PlatformServer PLATFORM = INSTALLATION.platform();
+    private static final ServiceServer ACCOUNTS =
+            INSTALLATION.with(ServiceServer.start(ServiceOptions.of(Map.of())));
+    private static final String OBJECT_SET =
+            ObjectSets.of(Map.of("accounts", List.of(ACCOUNTS.address())));
+
+    private static Instance first;
+    private static Instance second;
+
+    @BeforeAll
+    static void publish() {
+        first = INSTALLATION.start("first");
+        INSTALLATION.publishFirst(OBJECT_SET, first);
+        second = INSTALLATION.startReady("second").get("second");
+    }
+
+    @AfterAll
+    static void close() {
+        INSTALLATION.close();
+    }
+
+    @AfterEach
+    void heal() {
+        PLATFORM.fault(PlatformFault.none());
+    }
+
+    @Test
+    void ofTwoOperatorsWhoPublishAtOnceOneWinsAndTheOtherIsToldByWhom() {
+        for (int round = 0; round < ROUNDS; round++) {
+            checkRace();
+        }
+    }
+
+    @Test
+    void ofTwoOperatorsWhoPublishAtOnceOneWinsAlsoIfTheStoresAnswersAreLost() {
+        PLATFORM.fault(new PlatformFault(Mode.EFFECT_WITHOUT_ANSWER, 0, "config/head"));
+        checkRace();
+    }
+
+    @Test
+    void instanceRestartedWhileTheStoreIsDownTakesTheConfigurationFromAPeerAndServes() {
+        long generation = INSTALLATION.generation(first);
+        PLATFORM.fault(PlatformFault.of(Mode.DOWN));
+        Instance restarted = INSTALLATION.start("restarted");
+        INSTALLATION.awaitReady(restarted);
+        assertEquals(generation, INSTALLATION.generation(restarted));
+        Reply reply =
+                Await.value(new Caller("beta").lookUp(restarted, "store is down", DEADLINE_MS));
+        assertEquals(ServiceServer.expectedOutput("find", "store is down"), reply.answer());
+        restarted.kill();
+    }
+
+    @Test
+    void staleReadsOfTheStoreTakeNoInstanceBack() {
+        long generation = INSTALLATION.generation(first);
+        publishNext(generation);
+        PLATFORM.fault(PlatformFault.of(Mode.STALE_READ));
+        long readsBefore = PLATFORM.calls().get("watch");
+        Await.until("the store was watched", () -> PLATFORM.calls().get("watch") > readsBefore + 2);
+        assertEquals(generation + 1, INSTALLATION.generation(first));
+        assertEquals(generation + 1, INSTALLATION.generation(second));
+        Instance late = INSTALLATION.start("late");
+        Await.until(
+                "the highest generation is in force at a new instance",
+                () -> late.isReady() && INSTALLATION.generation(late) == generation + 1);
+        late.kill();
+    }
+
+    @Test
+    void instanceWithoutStoreAndPeersIsNotReadyUntilTheStoreIsBack() {
+        PLATFORM.fault(PlatformFault.of(Mode.DOWN));
+        try (Installation cold = INSTALLATION.sharingThePlatform()) {
+            Instance alone = cold.start("alone");
+            long watchesBefore = PLATFORM.calls().get("watch") + PLATFORM.calls().get("read");
+            Await.until(
+                    "it asked the store",
+                    () ->
+                            PLATFORM.calls().get("watch") + PLATFORM.calls().get("read")
+                                    > watchesBefore + 2);
+            assertEquals(503, alone.readyStatus());
+            Reply reply = Await.value(new Caller("beta").lookUp(alone, "too early", DEADLINE_MS));
+            assertEquals("NOT_RUN", reply.outcome());
+            PLATFORM.fault(PlatformFault.none());
+            cold.awaitReady(alone);
+            assertEquals(INSTALLATION.generation(first), cold.generation(alone));
+        }
+    }
+
+    private static void checkRace() {
+        long base = INSTALLATION.generation(first);
+        Await.until("same generation", () -> INSTALLATION.generation(second) == base);
+        CompletableFuture<HttpResponse<String>> olga =
+                INSTALLATION.publish(first, "olga", OBJECT_SET, base);
+        CompletableFuture<HttpResponse<String>> otto =
+                INSTALLATION.publish(second, "otto", OBJECT_SET, base);
+        HttpResponse<String> olgas = Await.value(olga);
+        HttpResponse<String> ottos = Await.value(otto);
+        boolean olgaWon = olgas.statusCode() == 200;
+        HttpResponse<String> winner = olgaWon ? olgas : ottos;
+        HttpResponse<String> loser = olgaWon ? ottos : olgas;
+        assertEquals(200, winner.statusCode(), winner.body());
+        assertEquals(409, loser.statusCode(), loser.body());
+        JsonNode told = Caller.json(loser.body());
+        assertEquals(base + 1, Caller.json(winner.body()).path("generation").asLong());
+        assertEquals(base + 1, told.path("generation").asLong(), loser.body());
+        assertEquals(olgaWon ? "olga" : "otto", told.path("operator").asText(), loser.body());
+        Await.until("in force", () -> INSTALLATION.generation(first) == base + 1);
+        Await.until("in force", () -> INSTALLATION.generation(second) == base + 1);
+    }
+
+    private static void publishNext(long base) {
+        HttpResponse<String> published =
+                Await.value(INSTALLATION.publish(first, "olga", OBJECT_SET, base));
+        assertEquals(200, published.statusCode(), published.body());
+        Await.until("in force", () -> INSTALLATION.generation(first) == base + 1);
+        Await.until("in force", () -> INSTALLATION.generation(second) == base + 1);
+        assertTrue(published.body().contains("published"), published.body());
+    }
+}
