--- /dev/null
+++ b/bench/src/main/java/org/sequoiaspindle/bench/protocol/SettingsDocument.java
@@ -0,0 +1,43 @@
+package org.sequoiaspindle.bench.protocol;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.vavr.collection.Vector;
+
+/** Settings of one entry instance as JSON. */
+public final class SettingsDocument {
+
+    private static final String HOST = "127.0.0.1";
+
+    private SettingsDocument() {}
+
+    /**
+     * Settings of an instance.
+     *
+     * @param peerPort port of its peer link
+     * @param peers peer links of the others, {@code ip:port}
+     */
+    public static String of(
+            String instance,
+            String dataCentre,
+            String policy,
+            int peerPort,
+            Vector<String> peers,
+            String platform) {
+        ObjectNode root = Json.object();
+        root.put("instance", instance).put("dataCentre", dataCentre).put("policy", policy);
+        root.putObject("http").put("host", HOST).put("port", 0);
+        ArrayNode list =
+                root.putObject("peer")
+                        .put("host", HOST)
+                        .put("port", peerPort)
+                        .put("secret", Credentials.PEER_SECRET)
+                        .putArray("peers");
+        peers.forEach(list::add);
+        root.putObject("platform").put("address", platform);
+        root.putObject("bootstrapOperator")
+                .put("name", Credentials.OPERATOR)
+                .put("secretHash", Credentials.hash(Credentials.OPERATOR));
+        return root.toString();
+    }
+}
--- /dev/null
+++ b/bench/src/test/java/org/sequoiaspindle/bench/LayersTest.java
@@ -0,0 +1,36 @@
+package org.sequoiaspindle.bench;
+
+import static com.tngtech.archunit.library.Architectures.layeredArchitecture;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.junit.AnalyzeClasses;
+import com.tngtech.archunit.junit.ArchTest;
+
+/** Guards against a lower layer that depends on a higher one. */
+@AnalyzeClasses(
+        packages = "org.sequoiaspindle.bench",
+        importOptions = ImportOption.DoNotIncludeTests.class)
+final class LayersTest {
+
+    @ArchTest
+    void layersDependDownwardsOnly(JavaClasses classes) {
+        layeredArchitecture()
+                .consideringOnlyDependenciesInLayers()
+                .layer("transport")
+                .definedBy("..bench.transport..")
+                .layer("protocol")
+                .definedBy("..bench.protocol..")
+                .layer("coordination")
+                .definedBy("..bench.coordination..")
+                .layer("state")
+                .definedBy("..bench.state..")
+                .whereLayer("transport")
+                .mayNotBeAccessedByAnyLayer()
+                .whereLayer("protocol")
+                .mayOnlyBeAccessedByLayers("transport")
+                .whereLayer("coordination")
+                .mayOnlyBeAccessedByLayers("transport", "protocol")
+                .check(classes);
+    }
+}
