--- a/daemon/src/main/java/org/sequoiaspindle/daemon/coordination/RequestJournal.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/RequestJournal.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.coordination;
+package org.sequoiaspindle.daemon.protocol;
 
 import io.vavr.collection.HashMap;
 import io.vavr.collection.HashSet;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/wiring/Daemon.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/wiring/Daemon.java
@@ -29,7 +29,7 @@
 import org.sequoiaspindle.daemon.coordination.Drain;
 import org.sequoiaspindle.daemon.coordination.EndpointJournal;
 import org.sequoiaspindle.daemon.coordination.GroupLoads;
-import org.sequoiaspindle.daemon.coordination.RequestJournal;
+import org.sequoiaspindle.daemon.protocol.RequestJournal;
 import org.sequoiaspindle.daemon.state.Settings;
 import org.sequoiaspindle.daemon.transport.HttpFrontEnd;
 import org.sequoiaspindle.daemon.transport.caller.CallerPorts;
