--- a/core/src/main/java/org/sequoiaspindle/core/coordination/routing/CallProfile.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/routing/CallProfile.java
@@ -15,6 +15,7 @@
  * @param size predicted size in tokens, at least 1
  * @param configuredMs service time of the stage as configured, in milliseconds
  * @param laterMs time that the later stages of the request need, in milliseconds
+ * @param laterWaitMs part of {@code laterMs} that is predicted waiting, in milliseconds
  * @param deadline deadline of the request
  * @param affinity hash of the prompt prefix; equal prefixes prefer equal endpoints
  * @param avoid endpoints that this stage of the request has tried already
@@ -28,6 +29,7 @@
         long size,
         long configuredMs,
         long laterMs,
+        long laterWaitMs,
         Deadline deadline,
         long affinity,
         Set<String> avoid) {
@@ -43,6 +45,7 @@
                 size,
                 configuredMs,
                 laterMs,
+                laterWaitMs,
                 deadline,
                 affinity,
                 avoid.add(endpoint));
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/routing/ServiceModel.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/routing/ServiceModel.java
@@ -10,6 +10,10 @@
 public record ServiceModel(Map<Key, Estimate> estimates) {
 
     private static final double GAIN = 0.1;
+
+    /** Faster than the way up, so that a slow phase, such as a cold start, is soon forgotten. */
+    private static final double GAIN_DOWN = 0.25;
+
     private static final double CLIP = 3.0;
 
     /** Stage and binary magnitude of the size. */
@@ -54,7 +58,7 @@
         double value = Math.min(serviceMs, CLIP * Math.max(1, estimate.meanMs()));
         double error = value - estimate.meanMs();
         return new Estimate(
-                estimate.meanMs() + GAIN * error,
+                estimate.meanMs() + (error < 0 ? GAIN_DOWN : GAIN) * error,
                 estimate.deviationMs() + GAIN * (Math.abs(error) - estimate.deviationMs()));
     }
 
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/request/ForwardedCalls.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/ForwardedCalls.java
@@ -130,6 +130,7 @@
                 size,
                 stage.expectedMs(),
                 0,
+                0,
                 Deadline.after(clock.now(), call.remainingMillis()),
                 Profiles.affinity(call.input()),
                 HashSet.empty());
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/request/PipelineRun.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/PipelineRun.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletionStage;
 import org.sequoiaspindle.core.coordination.routing.CallProfile;
 import org.sequoiaspindle.core.protocol.endpoint.TokenSink;
+import org.sequoiaspindle.core.protocol.request.RequestPlan.PlannedStage;
 import org.sequoiaspindle.core.state.Outcome;
 
 /** Runs the stages of one request in order; the output of each is the input of the next. */
@@ -24,7 +25,7 @@
         this.plan = plan;
         this.sink = sink;
         this.traceParent = traceParent;
-        this.profiles = new Profiles(services.groups(), services.clock());
+        this.profiles = new Profiles(services.groups());
         this.committedMs =
                 Vector.range(0, plan.stages().size())
                         .map(index -> index == 0 ? 0 : profiles.serviceMs(plan, index));
@@ -43,7 +44,11 @@
             Vector<StageReport> before,
             boolean mayHaveRun) {
         boolean last = index == plan.stages().size() - 1;
-        StageCall call = new StageCall(plan, plan.stages().get(index), input, profile, traceParent);
+        PlannedStage planned =
+                plan.stages()
+                        .get(index)
+                        .onUsableGroup(name -> services.groups().group(name).state().isOpen());
+        StageCall call = new StageCall(plan, planned, input, profile, traceParent);
         return new StageRun(services, call, last ? sink : TokenSink.DISCARD)
                 .start()
                 .thenCompose(outcome -> next(index, outcome, before, mayHaveRun));
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/request/Profiles.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/Profiles.java
@@ -2,7 +2,6 @@
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import io.vavr.collection.HashSet;
-import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.coordination.admission.WaitPrediction;
 import org.sequoiaspindle.core.coordination.routing.CallProfile;
 import org.sequoiaspindle.core.coordination.routing.GroupState;
@@ -18,36 +17,38 @@
     private static final int CHARACTERS_PER_TOKEN = 4;
 
     private final Groups groups;
-    private final MillisClock clock;
 
-    public Profiles(Groups groups, MillisClock clock) {
+    public Profiles(Groups groups) {
         this.groups = groups;
-        this.clock = clock;
     }
 
     /** Profile of the stage at {@code index}, with the predicted time of those after it. */
     public CallProfile profile(RequestPlan plan, int index) {
         long laterMs = 0;
+        long laterWaitMs = 0;
         for (int later = plan.stages().size() - 1; later > index; later--) {
-            laterMs += waitAndServiceMs(plan, plan.stages().get(later));
+            PlannedStage planned = plan.stages().get(later);
+            long waitMs = waitMs(plan, planned);
+            laterMs += waitMs + serviceMs(plan, later);
+            laterWaitMs += waitMs;
         }
-        return profile(plan, plan.stages().get(index).stage(), laterMs);
+        return profile(plan, plan.stages().get(index).stage(), laterMs, laterWaitMs);
     }
 
     /** Predicted service time of the stage at {@code index}, in milliseconds. */
     public long serviceMs(RequestPlan plan, int index) {
         PlannedStage planned = plan.stages().get(index);
         GroupState group = groups.group(planned.group()).state();
-        return group.model().expectedMs(profile(plan, planned.stage(), 0));
+        return group.model().expectedMs(profile(plan, planned.stage(), 0, 0));
     }
 
-    private long waitAndServiceMs(RequestPlan plan, PlannedStage planned) {
+    private long waitMs(RequestPlan plan, PlannedStage planned) {
         GroupState group = groups.group(planned.group()).state();
-        CallProfile profile = profile(plan, planned.stage(), 0);
-        return WaitPrediction.waitMs(group, profile) + group.model().expectedMs(profile);
+        return WaitPrediction.waitMs(group, profile(plan, planned.stage(), 0, 0));
     }
 
-    private static CallProfile profile(RequestPlan plan, Stage stage, long laterMs) {
+    private static CallProfile profile(
+            RequestPlan plan, Stage stage, long laterMs, long laterWaitMs) {
         long size = size(stage, plan.input(), plan.maxTokens());
         return new CallProfile(
                 plan.organisation().name(),
@@ -58,6 +59,7 @@
                 size,
                 stage.expectedMs(),
                 laterMs,
+                laterWaitMs,
                 plan.deadline(),
                 affinity(plan.input()),
                 HashSet.empty());
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/request/RequestPlan.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/RequestPlan.java
@@ -2,6 +2,7 @@
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
+import java.util.function.Predicate;
 import org.sequoiaspindle.core.state.Deadline;
 import org.sequoiaspindle.core.state.Organisation;
 import org.sequoiaspindle.core.state.Pipeline;
@@ -39,8 +40,18 @@
      *
      * @param stage the stage
      * @param group name of its endpoint group under the routing rules
+     * @param overflow groups to use in turn when the group has no usable endpoint
      */
-    public record PlannedStage(Stage stage, String group) {}
+    public record PlannedStage(Stage stage, String group, Vector<String> overflow) {
+
+        /** The stage on the first group that is usable, unchanged if none is. */
+        PlannedStage onUsableGroup(Predicate<String> usable) {
+            return overflow.prepend(group)
+                    .find(usable)
+                    .map(found -> new PlannedStage(stage, found, overflow))
+                    .getOrElse(this);
+        }
+    }
 
     /** Key under which the request must run at most once, if it has a call not to be repeated. */
     public Option<String> claimKey() {
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/request/RequestPlanner.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/request/RequestPlanner.java
@@ -77,7 +77,7 @@
     private static PlannedStage planned(
             Snapshot snapshot, CallerRequest request, Pipeline pipeline, Stage stage) {
         String group = snapshot.groupFor(request.organisation(), pipeline.name(), stage);
-        return new PlannedStage(stage, group);
+        return new PlannedStage(stage, group, snapshot.overflowOf(group));
     }
 
     private static Option<String> malformed(CallerRequest request) {
--- a/core/src/main/java/org/sequoiaspindle/core/state/Snapshot.java
+++ b/core/src/main/java/org/sequoiaspindle/core/state/Snapshot.java
@@ -100,6 +100,17 @@
                 .getOrElse(stage.endpointGroup());
     }
 
+    /** Groups that take the calls of a group without usable endpoint, in turn. */
+    public Vector<String> overflowOf(String group) {
+        Vector<String> chain = Vector.empty();
+        Option<String> next = endpointGroup(group).flatMap(EndpointGroup::overflow);
+        while (next.isDefined() && !chain.contains(next.get())) {
+            chain = chain.append(next.get());
+            next = endpointGroup(next.get()).flatMap(EndpointGroup::overflow);
+        }
+        return chain;
+    }
+
     private static <T extends NamedObject> Map<String, T> index(Seq<T> objects) {
         return objects.foldLeft(
                 HashMap.<String, T>empty(), (map, object) -> map.put(object.name(), object));
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/routing/GroupTransitionsTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/routing/GroupTransitionsTest.java
@@ -214,6 +214,7 @@
                 10,
                 100,
                 0,
+                0,
                 new Deadline(deadline),
                 7,
                 HashSet.empty());
--- a/core/src/test/java/org/sequoiaspindle/core/fake/SampleSet.java
+++ b/core/src/test/java/org/sequoiaspindle/core/fake/SampleSet.java
@@ -41,6 +41,33 @@
                 Vector.empty());
     }
 
+    /**
+     * The set with a group of engines that overflows into another, and no endpoint in the first.
+     */
+    public static ObjectSet withOverflow(ObjectSet set) {
+        return new ObjectSet(
+                set.organisations(),
+                set.operators(),
+                set.endpointGroups()
+                        .map(
+                                group ->
+                                        group.name().equals("engines")
+                                                ? new EndpointGroup(
+                                                        "engines",
+                                                        group.kind(),
+                                                        Option.some("spares"))
+                                                : group)
+                        .append(
+                                new EndpointGroup(
+                                        "spares", EndpointGroup.Kind.ENGINE, Option.none())),
+                set.endpoints()
+                        .filter(endpoint -> !endpoint.group().equals("engines"))
+                        .append(endpoint("spares", 0, 4)),
+                set.stages(),
+                set.pipelines(),
+                set.routingRules());
+    }
+
     private static Organisation organisation(String name) {
         return new Organisation(name, SecretHash.of(secret(name), new byte[] {1, 2}), 1, 10_000);
     }
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/request/SpilloverTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/request/SpilloverTest.java
@@ -43,6 +43,16 @@
         assertEquals(FaultyEndpoints.answerTo("generate", retrieved), answer.output());
     }
 
+    @Test
+    void stageOfAnEmptyGroupRunsInItsOverflowGroup() {
+        snapshots.adopt(Snapshot.of(2, SampleSet.withOverflow(SampleSet.withEndpoints(2, 4))));
+        Groups local = new Groups(SampleSet.DATA_CENTRE, Policies.chosen(), time, time);
+        local.reconfigure(snapshots.current(), HashSet.empty(), 1);
+        Answer answer = run(local, Spillover.NONE, "chat");
+        assertEquals(Outcome.ANSWERED, answer.outcome());
+        assertEquals("spares-0", answer.stages().last().endpoint());
+    }
+
     @Test
     void forwardedPaymentWithoutVerdictIsUnknownAndNotSentAgain() {
         int[] sent = {0};
@@ -67,12 +77,16 @@
 
     private Answer run(EndpointCaller forwarder, String pipeline) {
         snapshots.adopt(Snapshot.of(1, SampleSet.withEndpoints(2, 4)));
-        Groups none = groups("elsewhere");
+        Spillover spillover = new Spillover((group, cause) -> Option.of(PEER), forwarder);
+        return run(groups("elsewhere"), spillover, pipeline);
+    }
+
+    private Answer run(Groups groups, Spillover spillover, String pipeline) {
         RequestServices services =
                 new RequestServices(
-                        none,
+                        groups,
                         endpoints,
-                        new Spillover((group, cause) -> Option.of(PEER), forwarder),
+                        spillover,
                         RetryRule.SAFE,
                         HedgeRule.NEVER,
                         new RetryBudget(0.1),
