--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/EndpointAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/EndpointAttempt.java
@@ -66,12 +66,17 @@
             return;
         }
         if (sentOn.get() instanceof Channel channel) {
-            channel.eventLoop()
-                    .execute(
-                            () ->
-                                    channel.pipeline()
-                                            .get(EndpointConnection.class)
-                                            .abort(this, "cancelled"));
+            channel.eventLoop().execute(() -> abortOn(channel));
         }
     }
+
+    /** A closed channel has lost its handlers; nothing can answer the call on it any more. */
+    private void abortOn(Channel channel) {
+        EndpointConnection connection = channel.pipeline().get(EndpointConnection.class);
+        if (connection == null) {
+            end(new CallResult.Unknown("the connection is closed"));
+            return;
+        }
+        connection.abort(this, "cancelled");
+    }
 }
