Compare organisations' and operators' secrets in one place

Cause: the same constant-time comparison stood twice in Access. Change: one private method takes the hash, absent for an unknown name.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/access/Access.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/access/Access.java
@@ -1,5 +1,8 @@
 package org.sequoiaspindle.core.coordination.access;
 
+import io.vavr.control.Option;
+import org.sequoiaspindle.core.state.Operator;
+import org.sequoiaspindle.core.state.Organisation;
 import org.sequoiaspindle.core.state.SecretHash;
 import org.sequoiaspindle.core.state.Snapshot;
 
@@ -13,23 +16,16 @@
 
     /** Whether the secret is that of the organisation. */
     public static boolean isOrganisation(Snapshot snapshot, String name, String secret) {
-        boolean matches =
-                SecretHash.matches(
-                        secret,
-                        snapshot.organisation(name)
-                                .map(organisation -> organisation.secretHash())
-                                .getOrElse(NOBODY));
-        return matches && snapshot.organisation(name).isDefined();
+        return matches(secret, snapshot.organisation(name).map(Organisation::secretHash));
     }
 
     /** Whether the secret is that of the operator. */
     public static boolean isOperator(Snapshot snapshot, String name, String secret) {
-        boolean matches =
-                SecretHash.matches(
-                        secret,
-                        snapshot.operator(name)
-                                .map(operator -> operator.secretHash())
-                                .getOrElse(NOBODY));
-        return matches && snapshot.operator(name).isDefined();
+        return matches(secret, snapshot.operator(name).map(Operator::secretHash));
+    }
+
+    private static boolean matches(String secret, Option<String> hash) {
+        boolean matches = SecretHash.matches(secret, hash.getOrElse(NOBODY));
+        return matches && hash.isDefined();
     }
 }
