--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -159,8 +159,10 @@
             connections.endRequests();
         }
         boolean over = connections.isEmpty() || elapsed >= settings.drainMillis();
-        if (over && drained.complete(null)) {
+        if (over && !drained.isDone()) {
+            // Completion lets the process end, which stops the log: the line has to come first.
             events.record(LogEvent.DRAIN_ENDED, HashMap.of("complete", connections.isEmpty()));
+            drained.complete(null);
         }
     }
 
