Keep pieces that find no room waiting where they are gathered

After a change of the gathering instance the new one does not know what space is used; it sent full calls in vain, and each refusal counted as one of three tries of the request, so 150 requests of the burst at 4 s to 10 s were refused as FULL. Change: such pieces wait on at the gathering instance, which takes the rest of the replica's room for used by others and gives it back over a second.

--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/ResultRoomTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/ResultRoomTest.java
@@ -33,4 +33,14 @@
         room.made(REPLICA, "h", 100, 4_000);
         assertEquals(0, room.usedBytes(REPLICA, 4_000));
     }
+
+    /** Guards against calls in vain after another instance has gathered the service's pieces. */
+    @Test
+    void roomThatOthersUseIsTakenIntoAccountAndGivenBackLittleByLittle() {
+        room.made(REPLICA, "h", 100, 4_000);
+        room.exhausted(REPLICA, 1_000, 0);
+        assertEquals(1_000, room.usedBytes(REPLICA, 0));
+        assertEquals(550, room.usedBytes(REPLICA, 500));
+        assertEquals(100, room.usedBytes(REPLICA, 1_000));
+    }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceMaker.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceMaker.java
@@ -276,19 +276,29 @@
             return results.getLeft();
         }
         status.updateHealth(health -> health.succeeded());
-        outlook = outlook.completed(entries.size(), now);
+        int noRoom = 0;
         for (int i = 0; i < entries.size(); i++) {
+            Waiting entry = entries.get(i);
             PieceResult result = results.get().get(i);
+            if (result.equals(new PieceResult.NotMade(PieceResult.Reason.NO_ROOM))) {
+                waiting.put(entry.piece(), entry);
+                noRoom++;
+                continue;
+            }
             if (result instanceof PieceResult.Made made) {
                 room.made(
                         replica.id(),
                         made.handle(),
-                        entries.get(i).piece().resultBytes(),
+                        entry.piece().resultBytes(),
                         now + spec.resultTtlMillis());
             }
-            entries.get(i).result().complete(result);
+            entry.result().complete(result);
+        }
+        outlook = outlook.completed(entries.size() - noRoom, now);
+        if (noRoom > 0) {
+            room.exhausted(replica.id(), spec.roomBytes(), now);
         }
-        return "made";
+        return noRoom == 0 ? "made" : "no room for " + noRoom;
     }
 
     /** Pieces that a full replica did not begin wait on, until one has room. */
--- a/standins/src/main/java/org/sequoiaspindle/standins/protocol/ReplicaFrontend.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/protocol/ReplicaFrontend.java
@@ -155,6 +155,9 @@
         if (!item.path("key").isTextual() && item.path("inputs").isEmpty()) {
             return Map.of("reason", "error");
         }
+        if (fault.get() == ReplicaFault.NO_ROOM) {
+            return Map.of("reason", "room");
+        }
         String handle = address.get() + "/" + Long.toHexString(handleNumber.incrementAndGet());
         results.add(handle);
         return Map.of("handle", handle);
--- a/standins/src/main/java/org/sequoiaspindle/standins/state/ReplicaFault.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/state/ReplicaFault.java
@@ -16,5 +16,7 @@
     /** Answers without its signature. */
     UNSEALED,
     /** Answers with the identifier of another request. */
-    FOREIGN_ANSWER
+    FOREIGN_ANSWER,
+    /** Makes no pieces since it has no space for their results. */
+    NO_ROOM
 }
