Make in time what can be, and make results where they are used

Queues by due time spread an overload over everybody, and due times left 150 ms for the run and the least time of a call for later stages, which really take 160 to 400 and 300 to 500 ms. A free replica took any pieces, so that most results crossed data centres. Change: a schedule assigns the capacity in the order of due times; pieces that it cannot make in time wait behind the others. Due times subtract the usual times of later stages and of the run, as each instance measures them. Pieces stay in the data centre that uses their results unless they would be late there. Four of the new tests fail with the assignment switched off (44 expected, was 200; good expected, was late).

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/BatchRule.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/BatchRule.java
@@ -1,13 +1,10 @@
 package org.sequoiaspindle.core.coordination.forwarding;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.ToLongFunction;
-import java.util.stream.Collectors;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaChooser.Candidate;
 import org.sequoiaspindle.core.state.forwarding.BatchSpec;
 import org.sequoiaspindle.core.state.forwarding.Replica;
@@ -20,9 +17,6 @@
  */
 public final class BatchRule {
 
-    /** Span within which due times count as the same, in milliseconds; about half a call. */
-    private static final long SAME_TIME_MS = 100;
-
     /**
      * Pieces for one replica.
      *
@@ -35,70 +29,47 @@
     /**
      * The next batch to send now.
      *
-     * @param waiting pieces that wait, in any order
+     * @param schedule pieces that wait
      * @param candidates replicas; their load counts the calls that they are known to have
      * @param usedBytes space in use at a replica
-     * @param now time in milliseconds of the clock of the pieces
      * @return empty if the pieces should wait for a call to end or a result to be released
      */
     public static Optional<Batch> next(
             BatchSpec spec,
-            List<Piece> waiting,
+            PieceSchedule schedule,
             List<Candidate> candidates,
-            ToLongFunction<ReplicaId> usedBytes,
-            long now) {
-        if (waiting.isEmpty()) {
-            return Optional.empty();
-        }
-        String wanted =
-                waiting.stream().min(byUrgency(spec, now, "")).map(Piece::dataCentre).orElse("");
+            ToLongFunction<ReplicaId> usedBytes) {
+        String wanted = schedule.firstDataCentre();
         Comparator<Candidate> byCost =
                 Comparator.comparingDouble(Candidate::load)
                         .thenComparing(
                                 candidate -> !candidate.replica().dataCentre().equals(wanted));
         return candidates.stream()
-                .filter(candidate -> !candidate.ejected())
-                .filter(candidate -> candidate.load() < spec.slots())
+                .filter(candidate -> isFree(spec, candidate))
                 .sorted(byCost)
-                .map(candidate -> batch(spec, waiting, candidate, usedBytes, now))
+                .map(candidate -> batch(spec, schedule, candidate.replica(), usedBytes))
                 .flatMap(Optional::stream)
                 .findFirst();
     }
 
-    /**
-     * Pieces that can still be on time first, the earliest due of them foremost, then the others by
-     * the end of their use. Among those due at about the same time the ones that are best made in
-     * the data centre come first. Those of one request stay together, since it needs them all.
-     */
-    static Comparator<Piece> byUrgency(BatchSpec spec, long now, String dataCentre) {
-        double earliestEnd = now + spec.durationMillis(1);
-        return Comparator.comparing((Piece piece) -> piece.dueAt() < earliestEnd)
-                .thenComparingLong(
-                        piece ->
-                                Math.floorDiv(
-                                        piece.dueAt() < earliestEnd
-                                                ? piece.usefulUntil()
-                                                : piece.dueAt(),
-                                        SAME_TIME_MS))
-                .thenComparing(piece -> !piece.dataCentre().equals(dataCentre))
-                .thenComparingLong(Piece::dueAt)
-                .thenComparing(Piece::requestId);
+    /** Whether a replica would begin a call at once. */
+    public static boolean isFree(BatchSpec spec, Candidate candidate) {
+        return !candidate.ejected() && candidate.load() < spec.slots();
     }
 
-    /** The most urgent pieces whose results find room at the replica. */
+    /**
+     * The most urgent pieces whose results find room at the replica. Those of one request go in one
+     * call if they can: the first results of a request would take room until the last one is made.
+     */
     private static Optional<Batch> batch(
             BatchSpec spec,
-            List<Piece> waiting,
-            Candidate candidate,
-            ToLongFunction<ReplicaId> usedBytes,
-            long now) {
-        List<Piece> urgent =
-                waiting.stream()
-                        .sorted(byUrgency(spec, now, candidate.replica().dataCentre()))
-                        .toList();
-        long free = spec.roomBytes() - usedBytes.applyAsLong(candidate.replica().id());
+            PieceSchedule schedule,
+            Replica replica,
+            ToLongFunction<ReplicaId> usedBytes) {
+        List<List<Piece>> eligible = schedule.eligible(replica.dataCentre());
+        long free = spec.roomBytes() - usedBytes.applyAsLong(replica.id());
         List<Piece> chosen = new ArrayList<>();
-        for (List<Piece> together : byRequest(urgent)) {
+        for (List<Piece> together : eligible) {
             long bytes = together.stream().mapToLong(Piece::resultBytes).sum();
             boolean fits = chosen.size() + together.size() <= spec.maxPieces() && bytes <= free;
             if (fits) {
@@ -107,34 +78,20 @@
             }
         }
         if (chosen.isEmpty()) {
-            chosen = firstThatFit(spec, urgent, free);
+            chosen = firstThatFit(spec, eligible, free);
         }
-        return chosen.isEmpty()
-                ? Optional.empty()
-                : Optional.of(new Batch(candidate.replica(), chosen));
-    }
-
-    /**
-     * Pieces of the same request and stage, in order of urgency. They go in one call if they can:
-     * the first results of a request would take room until the last one is made.
-     */
-    private static Collection<List<Piece>> byRequest(List<Piece> urgent) {
-        return urgent.stream()
-                .collect(
-                        Collectors.groupingBy(
-                                piece -> piece.requestId() + "/" + piece.stage(),
-                                LinkedHashMap::new,
-                                Collectors.toList()))
-                .values();
+        return chosen.isEmpty() ? Optional.empty() : Optional.of(new Batch(replica, chosen));
     }
 
-    private static List<Piece> firstThatFit(BatchSpec spec, List<Piece> urgent, long room) {
+    private static List<Piece> firstThatFit(BatchSpec spec, List<List<Piece>> eligible, long room) {
         List<Piece> chosen = new ArrayList<>();
         long free = room;
-        for (Piece piece : urgent) {
-            if (chosen.size() < spec.maxPieces() && piece.resultBytes() <= free) {
-                chosen.add(piece);
-                free -= piece.resultBytes();
+        for (List<Piece> together : eligible) {
+            for (Piece piece : together) {
+                if (chosen.size() < spec.maxPieces() && piece.resultBytes() <= free) {
+                    chosen.add(piece);
+                    free -= piece.resultBytes();
+                }
             }
         }
         return chosen;
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/QueueOutlook.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/QueueOutlook.java
@@ -1,7 +1,6 @@
 package org.sequoiaspindle.core.coordination.forwarding;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import org.sequoiaspindle.core.state.forwarding.BatchSpec;
 
@@ -45,8 +44,7 @@
      * @param replicas replicas that take calls
      */
     public List<Piece> hopeless(BatchSpec spec, List<Piece> inOrder, int replicas, long now) {
-        double full = spec.maxPieces() / spec.durationMillis(spec.maxPieces());
-        double perMilli = Math.max(decayed(now), ASSUMED_SHARE * full * spec.slots() * replicas);
+        double perMilli = piecesPerMilli(spec, replicas, now);
         List<Piece> hopeless = new ArrayList<>();
         double ahead = 0;
         for (Piece piece : inOrder) {
@@ -60,9 +58,10 @@
         return hopeless;
     }
 
-    /** The order in which pieces are sent when no replica is preferred. */
-    public static Comparator<Piece> order(BatchSpec spec, long now) {
-        return BatchRule.byUrgency(spec, now, "");
+    /** Rate at which pieces are expected to be made, a millisecond. */
+    public double piecesPerMilli(BatchSpec spec, int replicas, long now) {
+        double full = spec.maxPieces() / spec.durationMillis(spec.maxPieces());
+        return Math.max(decayed(now), ASSUMED_SHARE * full * spec.slots() * replicas);
     }
 
     private double decayed(long now) {
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/StagePlan.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/StagePlan.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.ToLongFunction;
 import java.util.stream.Stream;
 import org.sequoiaspindle.core.state.forwarding.RequestFacts;
 import org.sequoiaspindle.core.state.forwarding.Route;
@@ -139,15 +140,20 @@
         return spent;
     }
 
-    /** Longest chain of stages that remains from a stage on, itself included. */
-    public int stepsFrom(int stage) {
-        int longest = 0;
+    /**
+     * Time of the longest chain of stages that follow a stage, in milliseconds.
+     *
+     * @param millis time of one stage
+     */
+    public long millisAfter(int stage, ToLongFunction<StageSpec> millis) {
+        long longest = 0;
         for (StageSpec other : stages) {
             if (other.after().contains(stage)) {
-                longest = Math.max(longest, stepsFrom(other.number()));
+                long chain = millis.applyAsLong(other) + millisAfter(other.number(), millis);
+                longest = Math.max(longest, chain);
             }
         }
-        return longest + 1;
+        return longest;
     }
 
     private Stream<Integer> presentBefore(StageSpec stage) {
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/BatchRuleTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/BatchRuleTest.java
@@ -5,6 +5,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
@@ -45,16 +46,19 @@
     void piecesWaitForRoomForTheirResults() {
         long full = SPEC.roomBytes() - RESULT_BYTES;
         BatchRule.Batch batch =
-                BatchRule.next(SPEC, pieces(3), List.of(at("a", 0)), replica -> full, NOW)
+                BatchRule.next(
+                                SPEC,
+                                schedule(SPEC, pieces(3)),
+                                List.of(at("a", 0)),
+                                replica -> full)
                         .orElseThrow();
         assertEquals(1, batch.pieces().size());
         assertTrue(
                 BatchRule.next(
                                 SPEC,
-                                pieces(3),
+                                schedule(SPEC, pieces(3)),
                                 List.of(at("a", 0)),
-                                replica -> SPEC.roomBytes(),
-                                NOW)
+                                replica -> SPEC.roomBytes())
                         .isEmpty());
     }
 
@@ -80,7 +84,12 @@
 
     private static Optional<BatchRule.Batch> next(
             BatchSpec spec, List<Piece> waiting, List<Candidate> candidates) {
-        return BatchRule.next(spec, waiting, candidates, replica -> 0, NOW);
+        return BatchRule.next(spec, schedule(spec, waiting), candidates, replica -> 0);
+    }
+
+    private static PieceSchedule schedule(BatchSpec spec, List<Piece> waiting) {
+        Map<String, Integer> one = Map.of("a", 1);
+        return PieceSchedule.of(spec, waiting, new PieceSchedule.Capacity(1, one, one), NOW);
     }
 
     private static String name(Optional<BatchRule.Batch> batch) {
--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/PieceScheduleTest.java
@@ -0,0 +1,154 @@
+package org.sequoiaspindle.core.coordination.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.state.forwarding.BatchSpec;
+
+/** Guards against queues in which every request is late, and results made far from their use. */
+final class PieceScheduleTest {
+
+    /** Ten pieces in 300 ms. */
+    private static final BatchSpec SPEC = new BatchSpec(1, 2, 10, 200, 10, 100_000_000, 4_000);
+
+    private static final long NOW = 10_000;
+    private static final int LIGHT = 8_000;
+    private static final int HEAVY = 1_500_000;
+
+    /** Two replicas that work at full speed, 20 pieces in 300 ms, and have no free slot. */
+    private static final PieceSchedule.Capacity BUSY = capacity(Map.of());
+
+    private static final PieceSchedule.Capacity FREE = capacity(Map.of("a", 1, "b", 1));
+
+    @Test
+    void inAnOverloadTheCapacityServesRequestsInTimeInsteadOfAllALittleLate() {
+        List<Piece> pieces = new ArrayList<>();
+        for (int request = 0; request < 50; request++) {
+            pieces.addAll(request("r" + (100 + request), 4, LIGHT, "", NOW + 1_000 + request));
+        }
+        // 100 ms of the calls in progress and 300 ms of the own call leave time for 44 pieces.
+        assertEquals(44, schedule(pieces, BUSY).onTime().size());
+    }
+
+    @Test
+    void pieceThatCannotBeOnTimeWaitsBehindThoseThatCan() {
+        List<Piece> pieces =
+                with(
+                        request("late", 1, LIGHT, "", NOW + 100),
+                        request("good", 1, LIGHT, "", NOW + 5_000));
+        assertEquals("good", schedule(pieces, BUSY).inOrder().get(0).requestId());
+    }
+
+    @Test
+    void piecesBehindMoreWorkThanFitsIntoTheirTimeDoNotDelayThoseThatFollowWithMoreTime() {
+        List<Piece> pieces = new ArrayList<>();
+        for (int request = 0; request < 20; request++) {
+            pieces.addAll(request("tight" + request, 4, LIGHT, "", NOW + 700));
+        }
+        pieces.addAll(request("later", 4, LIGHT, "", NOW + 1_500));
+        List<String> order =
+                schedule(pieces, BUSY).inOrder().stream().map(Piece::requestId).distinct().toList();
+        assertTrue(order.indexOf("later") < 10, order.toString());
+    }
+
+    @Test
+    void resultsAreMadeInTheDataCentreThatUsesThem() {
+        List<Piece> pieces = request("r", 2, HEAVY, "a", NOW + 2_000);
+        PieceSchedule schedule = schedule(pieces, FREE);
+        assertEquals(1, schedule.eligible("a").size());
+        assertTrue(schedule.eligible("b").isEmpty());
+    }
+
+    @Test
+    void piecesThatWouldBeLateAtHomeMayBeMadeElsewhere() {
+        List<Piece> pieces = new ArrayList<>();
+        for (int request = 0; request < 12; request++) {
+            pieces.addAll(request("r" + (10 + request), 4, HEAVY, "a", NOW + 1_000));
+        }
+        PieceSchedule schedule = schedule(pieces, FREE);
+        int moved = schedule.eligible("b").size();
+        assertTrue(moved > 0 && moved < 12, "moved " + moved);
+        assertEquals(12, schedule.eligible("a").size());
+    }
+
+    @Test
+    void lateHeavyResultsAreNotMoved() {
+        List<Piece> pieces = request("r", 2, HEAVY, "a", NOW);
+        assertTrue(schedule(pieces, FREE).eligible("b").isEmpty());
+    }
+
+    @Test
+    void piecesOfADataCentreWithoutReplicasAreMadeAnywhere() {
+        List<Piece> pieces = request("r", 2, HEAVY, "elsewhere", NOW + 2_000);
+        assertEquals(1, schedule(pieces, FREE).eligible("b").size());
+    }
+
+    /** Guards against pieces that no replica would ever take, or that would be made twice. */
+    @Property(seed = "4711", tries = 300)
+    void everyPieceIsInTheOrderOnceAndSomeReplicaMayMakeIt(
+            @ForAll @Size(max = 40) List<@IntRange(min = -500, max = 3_000) Integer> dueIn) {
+        List<Piece> pieces = new ArrayList<>();
+        for (int i = 0; i < dueIn.size(); i++) {
+            String home = i % 3 == 0 ? "" : i % 3 == 1 ? "a" : "c";
+            pieces.addAll(
+                    request(
+                            "r" + i,
+                            1 + i % 4,
+                            i % 2 == 0 ? LIGHT : HEAVY,
+                            home,
+                            NOW + dueIn.get(i)));
+        }
+        PieceSchedule schedule = schedule(pieces, BUSY);
+        assertEquals(pieces.size(), schedule.inOrder().size());
+        assertEquals(Set.copyOf(pieces), new HashSet<>(schedule.inOrder()));
+        Set<Piece> eligible = new HashSet<>();
+        schedule.eligible("a").forEach(eligible::addAll);
+        schedule.eligible("b").forEach(eligible::addAll);
+        assertEquals(Set.copyOf(pieces), eligible);
+    }
+
+    private static PieceSchedule schedule(List<Piece> pieces, PieceSchedule.Capacity capacity) {
+        return PieceSchedule.of(SPEC, pieces, capacity, NOW);
+    }
+
+    private static PieceSchedule.Capacity capacity(Map<String, Integer> free) {
+        return new PieceSchedule.Capacity(20 / 300.0, Map.of("a", 1, "b", 1), free);
+    }
+
+    private static List<Piece> with(List<Piece> some, List<Piece> more) {
+        List<Piece> all = new ArrayList<>(some);
+        all.addAll(more);
+        return all;
+    }
+
+    private static List<Piece> request(
+            String id, int pieces, long bytes, String dataCentre, long dueAt) {
+        List<Piece> made = new ArrayList<>();
+        for (int n = 0; n < pieces; n++) {
+            made.add(
+                    new Piece(
+                            id,
+                            0,
+                            n,
+                            "s",
+                            "k",
+                            List.of(),
+                            bytes,
+                            dataCentre,
+                            dueAt + 4_000,
+                            dueAt,
+                            1));
+        }
+        return made;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/TimeEstimatesTest.java
@@ -0,0 +1,38 @@
+package org.sequoiaspindle.core.coordination.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+
+/** Guards against due times that ignore how long the steps that remain really take. */
+final class TimeEstimatesTest {
+
+    private final TimeEstimates estimates = new TimeEstimates();
+
+    @Test
+    void fallbackHoldsUntilSomethingIsObserved() {
+        assertEquals(300, estimates.usualMillis("encoder", 300));
+        estimates.observe("encoder", 100);
+        assertEquals(100, estimates.usualMillis("encoder", 300));
+        assertEquals(300, estimates.usualMillis("reranker", 300));
+    }
+
+    @Test
+    void usualTimeCoversMostOfVaryingDurations() {
+        for (int i = 0; i < 200; i++) {
+            estimates.observe("encoder", i % 2 == 0 ? 100 : 300);
+        }
+        double usual = estimates.usualMillis("encoder", 0);
+        assertTrue(usual > 270 && usual < 330, "usual " + usual);
+    }
+
+    @Test
+    void estimateFollowsAChangeWithinSomeTensOfObservations() {
+        estimates.observe("encoder", 100);
+        for (int i = 0; i < 40; i++) {
+            estimates.observe("encoder", 500);
+        }
+        assertTrue(estimates.usualMillis("encoder", 0) > 450);
+    }
+}
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceMaker.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceMaker.java
@@ -11,11 +11,13 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Collectors;
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.coordination.forwarding.BatchRule;
 import org.sequoiaspindle.core.coordination.forwarding.Piece;
+import org.sequoiaspindle.core.coordination.forwarding.PieceSchedule;
 import org.sequoiaspindle.core.coordination.forwarding.QueueOutlook;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaChooser.Candidate;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatus;
@@ -132,15 +134,16 @@
             endAll(PieceResult.Reason.NO_REPLICA);
             return;
         }
-        dropUseless(spec.get(), replicas.size());
+        dropUnwanted();
+        dropHopeless(spec.get(), schedule(spec.get(), candidates(spec.get(), replicas)));
         while (true) {
+            List<Candidate> candidates = candidates(spec.get(), replicas);
             Optional<BatchRule.Batch> batch =
                     BatchRule.next(
                             spec.get(),
-                            List.copyOf(waiting.keySet()),
-                            candidates(spec.get(), replicas),
-                            replica -> room.usedBytes(replica, clock.now()),
-                            clock.now());
+                            schedule(spec.get(), candidates),
+                            candidates,
+                            replica -> room.usedBytes(replica, clock.now()));
             if (batch.isEmpty()) {
                 break;
             }
@@ -170,16 +173,36 @@
                 .toList();
     }
 
-    /** Drops pieces that nobody waits for, and those whose turn would come too late. */
-    private void dropUseless(BatchSpec spec, int replicas) {
-        long now = clock.now();
+    private PieceSchedule schedule(BatchSpec spec, List<Candidate> candidates) {
+        List<Candidate> usable = candidates.stream().filter(c -> !c.ejected()).toList();
+        PieceSchedule.Capacity capacity =
+                new PieceSchedule.Capacity(
+                        outlook.piecesPerMilli(spec, usable.size(), clock.now()),
+                        countByDataCentre(usable),
+                        countByDataCentre(
+                                usable.stream().filter(c -> BatchRule.isFree(spec, c)).toList()));
+        return PieceSchedule.of(spec, waiting.keySet(), capacity, clock.now());
+    }
+
+    private static Map<String, Integer> countByDataCentre(List<Candidate> candidates) {
+        return candidates.stream()
+                .collect(Collectors.toMap(c -> c.replica().dataCentre(), c -> 1, Integer::sum));
+    }
+
+    /** Drops pieces that nobody waits for. */
+    private void dropUnwanted() {
         end(
                 waiting.values().stream().filter(entry -> !entry.wanted().getAsBoolean()).toList(),
                 PieceResult.Reason.LATE);
-        List<Piece> inOrder =
-                waiting.keySet().stream().sorted(QueueOutlook.order(spec, now)).toList();
+    }
+
+    /** Drops pieces whose turn would come too late. */
+    private void dropHopeless(BatchSpec spec, PieceSchedule schedule) {
+        int replicas = registry.replicas().of(service).size();
         end(
-                outlook.hopeless(spec, inOrder, replicas, now).stream().map(waiting::get).toList(),
+                outlook.hopeless(spec, schedule.inOrder(), replicas, clock.now()).stream()
+                        .map(waiting::get)
+                        .toList(),
                 PieceResult.Reason.LATE);
     }
 
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/Exchange.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/Exchange.java
@@ -39,6 +39,7 @@
     private final Set<ReplicaId> tried = new HashSet<>();
     private Admission.Admitted admitted;
     private long endAt;
+    private long stagedAt;
     private ScheduledFuture<?> limit;
     private StageRun stages;
     private List<String> inputs = List.of();
@@ -140,7 +141,8 @@
         inputs = plan.outputs();
         inputBytes = plan.outputBytes(parts.locator()::countByDataCentre);
         held = plan.results();
-        trace.staged(parts.clock().now());
+        stagedAt = parts.clock().now();
+        trace.staged(stagedAt);
         attempt();
     }
 
@@ -278,7 +280,9 @@
 
     /** The first bytes of an answer go to the client. */
     void firstBytes() {
-        trace.firstBytes(parts.clock().now());
+        long now = parts.clock().now();
+        trace.firstBytes(now);
+        parts.runTimes().observe(route().name(), now - stagedAt);
     }
 
     /** Time is up: ends the request with what is known of it. */
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -23,6 +23,7 @@
 import org.sequoiaspindle.core.common.Timer;
 import org.sequoiaspindle.core.coordination.forwarding.RepeatBudgets;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatuses;
+import org.sequoiaspindle.core.coordination.forwarding.TimeEstimates;
 import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
 import org.sequoiaspindle.core.protocol.forwarding.InstanceRegistration;
 import org.sequoiaspindle.core.protocol.forwarding.Registry;
@@ -264,6 +265,8 @@
                                 repeats.ratio(), repeats.windowMillis(), repeats.slack()),
                         () -> registry.peers().size(),
                         clock),
+                new TimeEstimates(),
+                new TimeEstimates(),
                 pieces,
                 pieces,
                 new ResultLocator(adapter.stages(), registry),
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingParts.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingParts.java
@@ -4,19 +4,27 @@
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.coordination.forwarding.RepeatBudgets;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatuses;
+import org.sequoiaspindle.core.coordination.forwarding.TimeEstimates;
 import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
 import org.sequoiaspindle.core.protocol.forwarding.PieceMaker;
 import org.sequoiaspindle.core.protocol.forwarding.Registry;
 import org.sequoiaspindle.daemon.state.ForwardingSettings;
 import org.sequoiaspindle.daemon.transport.telemetry.ForwardingMetrics;
 
-/** What all requests share. Each part is thread-safe. */
+/**
+ * What all requests share. Each part is thread-safe.
+ *
+ * @param pieceTimes time from the order of a piece to its result, by service
+ * @param runTimes time from the last result of a request to the first bytes of its answer, by route
+ */
 record ForwardingParts(
         ForwardingSettings settings,
         Registry registry,
         HttpDialect dialect,
         ReplicaStatuses statuses,
         RepeatBudgets budgets,
+        TimeEstimates pieceTimes,
+        TimeEstimates runTimes,
         PieceMaker pieces,
         Releaser releaser,
         ResultLocator locator,
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/StageRun.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/StageRun.java
@@ -28,7 +28,7 @@
     private static final int MAX_RESTARTS = 1;
 
     /** Least time for the request itself after its stages, in milliseconds. */
-    private static final long RUN_MS = 150;
+    private static final long LEAST_RUN_MS = 150;
 
     private final ForwardingParts parts;
     private final EventLoop loop;
@@ -116,8 +116,8 @@
                 inputs,
                 stage.resultBytes(),
                 inputs.isEmpty() ? request.dataCentre() : mostOf(inputs),
-                request.endAt() - laterMillis(stage) - RUN_MS,
-                request.dueAt() - laterMillis(stage) - RUN_MS,
+                request.endAt() - leastLaterMillis(stage) - LEAST_RUN_MS,
+                request.dueAt() - usualLaterMillis(stage) - usualRunMillis(),
                 request.priority());
     }
 
@@ -130,18 +130,60 @@
     }
 
     /** Least time that the stages after this one take. */
-    private long laterMillis(StageSpec stage) {
+    private long leastLaterMillis(StageSpec stage) {
+        return plan.millisAfter(stage.number(), later -> callMillis(later, 1));
+    }
+
+    /** Time that the stages after this one take at present. */
+    private long usualLaterMillis(StageSpec stage) {
+        return plan.millisAfter(
+                stage.number(),
+                later ->
+                        (long)
+                                parts.pieceTimes()
+                                        .usualMillis(
+                                                later.service(),
+                                                callMillis(
+                                                        later,
+                                                        request.facts().pieces(later.number()))));
+    }
+
+    private long usualRunMillis() {
+        return (long) parts.runTimes().usualMillis(request.route().name(), LEAST_RUN_MS);
+    }
+
+    private long callMillis(StageSpec stage, int pieces) {
         Optional<BatchSpec> batch =
                 parts.registry().table().service(stage.service()).flatMap(ServiceSpec::batch);
-        double call = batch.map(spec -> spec.durationMillis(1)).orElse(0.0);
-        return (long) (call * (plan.stepsFrom(stage.number()) - 1));
+        return batch.map(spec -> (long) spec.durationMillis(pieces)).orElse(0L);
     }
 
     private void make(Piece piece, int tries) {
         int begun = generation;
+        long orderedAt = parts.clock().now();
         parts.pieces()
                 .make(piece, () -> !ended)
-                .thenAccept(result -> loop.execute(() -> made(piece, tries, begun, result)));
+                .thenAccept(
+                        result ->
+                                loop.execute(
+                                        () -> {
+                                            observe(piece, orderedAt, result);
+                                            made(piece, tries, begun, result);
+                                        }));
+    }
+
+    /**
+     * A late piece waited behind others and says little about those on time, unless it was fast.
+     */
+    private void observe(Piece piece, long orderedAt, PieceResult result) {
+        if (!(result instanceof PieceResult.Made)) {
+            return;
+        }
+        long now = parts.clock().now();
+        long took = now - orderedAt;
+        if (now <= piece.dueAt() || took < parts.pieceTimes().usualMillis(piece.service(), took)) {
+            parts.pieceTimes().observe(piece.service(), took);
+        }
     }
 
     private void made(Piece piece, int tries, int begun, PieceResult result) {
