--- /dev/null
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/RegistryFollowerTest.java
@@ -0,0 +1,134 @@
+package org.sequoiaspindle.core.protocol.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.fake.VirtualTime;
+import org.sequoiaspindle.core.protocol.store.Store;
+import org.sequoiaspindle.core.protocol.store.StoreChange;
+import org.sequoiaspindle.core.protocol.store.StoreCommand;
+import org.sequoiaspindle.core.protocol.store.StoreResult;
+import org.sequoiaspindle.core.protocol.store.StoreValue;
+import org.sequoiaspindle.core.state.forwarding.HostPort;
+import org.sequoiaspindle.core.state.forwarding.Replica;
+import org.sequoiaspindle.core.state.forwarding.ReplicaId;
+
+/** Guards against replicas that are used although they left, and against needless store calls. */
+final class RegistryFollowerTest {
+
+    /** Time within which an instance in contact has to act on a leaving replica. */
+    private static final long LEAVING_MS = 2_000;
+
+    private final VirtualTime time = new VirtualTime(0, new Random(1));
+    private final ItemStore store = new ItemStore();
+    private final Registry registry = new Registry(layout(), time, time, (event, fields) -> {});
+    private final RegistryFollower follower = new RegistryFollower(store, layout(), registry, time);
+
+    @Test
+    void changeThatTheWatchNeverDeliversIsNoticedByThePoll() {
+        store.write("replicas/one", "one");
+        follower.start();
+        time.advance(100);
+        assertEquals(1, registry.replicas().all().size());
+        store.remove("replicas/one");
+        time.advance(LEAVING_MS);
+        assertTrue(registry.replicas().all().isEmpty());
+    }
+
+    @Test
+    void watchThatDeliversIsNotReplacedByListings() {
+        store.write("replicas/one", "one");
+        follower.start();
+        time.advance(100);
+        int listings = store.replicaListings;
+        for (int change = 0; change < 20; change++) {
+            store.write("replicas/one", "one");
+            store.answerWatches();
+            time.advance(500);
+        }
+        assertEquals(listings, store.replicaListings);
+        assertEquals(1, registry.replicas().all().size());
+    }
+
+    private static RegistryLayout layout() {
+        return new RegistryLayout(
+                "op/config",
+                "replicas/",
+                value -> Either.left("none"),
+                RegistryFollowerTest::replica);
+    }
+
+    private static Optional<Replica> replica(StoreChange.Written item) {
+        return Optional.of(
+                new Replica(
+                        new ReplicaId(item.key(), 1),
+                        "service",
+                        new HostPort("10.0.0.1", 80),
+                        "a",
+                        1,
+                        false));
+    }
+
+    /** Store whose watches are silent until told. */
+    private static final class ItemStore implements Store {
+
+        private final TreeMap<String, StoreChange.Written> items = new TreeMap<>();
+        private final List<StoreChange> history = new ArrayList<>();
+        private final List<Watch> watches = new ArrayList<>();
+        private long revision = 1;
+        private int replicaListings;
+
+        private record Watch(long after, CompletableFuture<StoreResult> answer) {}
+
+        void write(String key, String value) {
+            StoreChange.Written change =
+                    new StoreChange.Written(key, StoreValue.ofText(value), ++revision);
+            items.put(key, change);
+            history.add(change);
+        }
+
+        void remove(String key) {
+            items.remove(key);
+            history.add(new StoreChange.Removed(key, ++revision));
+        }
+
+        void answerWatches() {
+            List<Watch> waiting = List.copyOf(watches);
+            watches.clear();
+            waiting.forEach(watch -> watch.answer().complete(since(watch.after())));
+        }
+
+        private StoreResult since(long after) {
+            return new StoreResult.Changed(
+                    Vector.ofAll(history).filter(change -> change.revision() > after), revision);
+        }
+
+        @Override
+        public CompletionStage<StoreResult> execute(StoreCommand command) {
+            if (command instanceof StoreCommand.ListItems list) {
+                replicaListings += list.prefix().equals("replicas/") ? 1 : 0;
+                Vector<StoreChange.Written> found =
+                        Vector.ofAll(items.values())
+                                .filter(item -> item.key().startsWith(list.prefix()));
+                return CompletableFuture.completedFuture(
+                        new StoreResult.Listed(found, false, revision));
+            }
+            if (command instanceof StoreCommand.AwaitChanges watch) {
+                CompletableFuture<StoreResult> answer = new CompletableFuture<>();
+                watches.add(new Watch(watch.afterRevision(), answer));
+                return answer;
+            }
+            return CompletableFuture.completedFuture(new StoreResult.Missing());
+        }
+    }
+}
