--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaStatus.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaStatus.java
@@ -1,5 +1,6 @@
 package org.sequoiaspindle.core.coordination.forwarding;
 
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.UnaryOperator;
@@ -43,6 +44,12 @@
         report.set(new Report(load, now, inFlight.get()));
     }
 
+    /** Age of the last load report in milliseconds, empty if there was none. */
+    public OptionalLong reportAgeMillis(long now) {
+        Report last = report.get();
+        return last == null ? OptionalLong.empty() : OptionalLong.of(now - last.at());
+    }
+
     /**
      * Requests that the replica is expected to have from all callers. A recent report counts for
      * the other callers; what this instance has sent since is added.
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/Exchange.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/Exchange.java
@@ -160,6 +160,7 @@
             return;
         }
         tried.add(replica.get().id());
+        trace.routed(replica.get(), parts.statuses().of(replica.get()), parts.clock().now());
         attempt = new Attempt(this, replica.get());
         attempt.start();
     }
@@ -282,7 +283,7 @@
     void firstBytes() {
         long now = parts.clock().now();
         trace.firstBytes(now);
-        parts.runTimes().observe(route().name(), now - stagedAt);
+        parts.runTimes().observe(route().name(), request.facts().promptTokens(), now - stagedAt);
     }
 
     /** Time is up: ends the request with what is known of it. */
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestTrace.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestTrace.java
@@ -5,6 +5,7 @@
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.coordination.forwarding.Admission;
 import org.sequoiaspindle.core.coordination.forwarding.AttemptResult;
+import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatus;
 import org.sequoiaspindle.core.state.forwarding.Replica;
 
 /** Gathers what the log and the metrics say of one request. Confined to its event loop. */
@@ -18,6 +19,9 @@
     private Admission.Admitted admitted;
     private long stagedMillis = NEVER;
     private long firstBytesMillis = NEVER;
+    private String endpoint = "none";
+    private double load;
+    private long loadAgeMillis = NEVER;
 
     RequestTrace(ForwardingParts parts, String requestId, long arrivedAt) {
         this.parts = parts;
@@ -33,6 +37,13 @@
         stagedMillis = now - arrivedAt;
     }
 
+    /** Notes the endpoint that was chosen, and what was known of its load. */
+    void routed(Replica replica, ReplicaStatus status, long now) {
+        endpoint = replica.id().toString();
+        load = status.expectedLoad(now);
+        loadAgeMillis = status.reportAgeMillis(now).orElse(NEVER);
+    }
+
     void firstBytes(long now) {
         firstBytesMillis = now - arrivedAt;
     }
@@ -60,17 +71,20 @@
         String service = admitted == null ? "none" : admitted.service();
         parts.metrics().requestEnded(service, status, reason, millis);
         Map<String, Object> fields =
-                LinkedHashMap.of(
-                        "requestId", requestId,
-                        "route", admitted == null ? "none" : admitted.route().name(),
-                        "service", service,
-                        "status", status,
-                        "reason", reason,
-                        "sends", sends,
-                        "stagedMs", stagedMillis,
-                        "firstBytesMs", firstBytesMillis,
-                        "durationMs", millis,
-                        "generation", parts.registry().table().version());
+                LinkedHashMap.<String, Object>of(
+                                "requestId", requestId,
+                                "route", admitted == null ? "none" : admitted.route().name(),
+                                "service", service,
+                                "status", status,
+                                "reason", reason,
+                                "sends", sends,
+                                "stagedMs", stagedMillis,
+                                "firstBytesMs", firstBytesMillis,
+                                "durationMs", millis,
+                                "generation", parts.registry().table().version())
+                        .put("endpoint", endpoint)
+                        .put("load", Math.round(load))
+                        .put("loadAgeMs", loadAgeMillis);
         parts.events().record(LogEvent.FORWARD_ENDED, fields);
     }
 }
