Estimate runs by the length of the prompt, and give late pieces half of the rate

Changes: an estimate for each doubling of the prompt; the outlook counts on half of the rate for late pieces, so that those without a chance are refused early.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/PieceSchedule.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/PieceSchedule.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.sequoiaspindle.core.state.forwarding.BatchSpec;
@@ -90,17 +91,18 @@
         return new PieceSchedule(Stream.concat(onTime, late).toList(), capacity);
     }
 
-    /** All pieces, the most urgent first. */
-    public List<Piece> inOrder() {
-        return groups.stream().flatMap(group -> group.pieces().stream()).toList();
+    /** Pieces that the capacity can make in time, the most urgent first. */
+    public List<Piece> onTime() {
+        return pieces(Group::onTime);
     }
 
-    /** Pieces that the capacity can make in time. */
-    List<Piece> onTime() {
-        return groups.stream()
-                .filter(Group::onTime)
-                .flatMap(group -> group.pieces().stream())
-                .toList();
+    /** The other pieces, the first to lose its use foremost. */
+    public List<Piece> late() {
+        return pieces(group -> !group.onTime());
+    }
+
+    private List<Piece> pieces(Predicate<Group> wanted) {
+        return groups.stream().filter(wanted).flatMap(group -> group.pieces().stream()).toList();
     }
 
     /** Data centre in which the most urgent pieces should be made, empty if that is open. */
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/QueueOutlook.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/QueueOutlook.java
@@ -19,6 +19,12 @@
      */
     private static final double ASSUMED_SHARE = 0.5;
 
+    /**
+     * Share of the rate that is assumed for late pieces; while they wait, requests that can still
+     * be on time arrive and go first.
+     */
+    private static final double LATE_SHARE = 0.5;
+
     private final double rate;
     private final long updatedAt;
 
@@ -40,24 +46,33 @@
     /**
      * Pieces whose turn comes too late, if those before them are made at the present rate.
      *
-     * @param inOrder waiting pieces in the order in which they are sent
+     * @param schedule waiting pieces in the order in which they are sent
      * @param replicas replicas that take calls
      */
-    public List<Piece> hopeless(BatchSpec spec, List<Piece> inOrder, int replicas, long now) {
-        double perMilli = piecesPerMilli(spec, replicas, now);
+    public List<Piece> hopeless(BatchSpec spec, PieceSchedule schedule, int replicas, long now) {
+        double rate = piecesPerMilli(spec, replicas, now);
+        double first = now + spec.durationMillis(1);
         List<Piece> hopeless = new ArrayList<>();
-        double ahead = 0;
-        for (Piece piece : inOrder) {
-            double start = perMilli > 0 ? now + ahead / perMilli : now;
-            if (start + spec.durationMillis(1) > piece.usefulUntil()) {
-                hopeless.add(piece);
-            } else {
-                ahead++;
-            }
+        double wait = 0;
+        for (Piece piece : schedule.onTime()) {
+            wait = addUnlessHopeless(piece, first, wait, 1 / rate, hopeless);
+        }
+        for (Piece piece : schedule.late()) {
+            wait = addUnlessHopeless(piece, first, wait, 1 / (rate * LATE_SHARE), hopeless);
         }
         return hopeless;
     }
 
+    /** The wait of the pieces behind this one. */
+    private static double addUnlessHopeless(
+            Piece piece, double first, double wait, double millisEach, List<Piece> hopeless) {
+        if (first + wait > piece.usefulUntil()) {
+            hopeless.add(piece);
+            return wait;
+        }
+        return wait + millisEach;
+    }
+
     /** Rate at which pieces are expected to be made, a millisecond. */
     public double piecesPerMilli(BatchSpec spec, int replicas, long now) {
         double full = spec.maxPieces() / spec.durationMillis(spec.maxPieces());
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/PieceScheduleTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/PieceScheduleTest.java
@@ -46,7 +46,7 @@
                 with(
                         request("late", 1, LIGHT, "", NOW + 100),
                         request("good", 1, LIGHT, "", NOW + 5_000));
-        assertEquals("good", schedule(pieces, BUSY).inOrder().get(0).requestId());
+        assertEquals("good", order(schedule(pieces, BUSY)).get(0).requestId());
     }
 
     @Test
@@ -57,7 +57,7 @@
         }
         pieces.addAll(request("later", 4, LIGHT, "", NOW + 1_500));
         List<String> order =
-                schedule(pieces, BUSY).inOrder().stream().map(Piece::requestId).distinct().toList();
+                order(schedule(pieces, BUSY)).stream().map(Piece::requestId).distinct().toList();
         assertTrue(order.indexOf("later") < 10, order.toString());
     }
 
@@ -109,14 +109,18 @@
                             NOW + dueIn.get(i)));
         }
         PieceSchedule schedule = schedule(pieces, BUSY);
-        assertEquals(pieces.size(), schedule.inOrder().size());
-        assertEquals(Set.copyOf(pieces), new HashSet<>(schedule.inOrder()));
+        assertEquals(pieces.size(), order(schedule).size());
+        assertEquals(Set.copyOf(pieces), new HashSet<>(order(schedule)));
         Set<Piece> eligible = new HashSet<>();
         schedule.eligible("a").forEach(eligible::addAll);
         schedule.eligible("b").forEach(eligible::addAll);
         assertEquals(Set.copyOf(pieces), eligible);
     }
 
+    private static List<Piece> order(PieceSchedule schedule) {
+        return with(schedule.onTime(), schedule.late());
+    }
+
     private static PieceSchedule schedule(List<Piece> pieces, PieceSchedule.Capacity capacity) {
         return PieceSchedule.of(SPEC, pieces, capacity, NOW);
     }
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/QueueOutlookTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/QueueOutlookTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Map;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.sequoiaspindle.core.state.forwarding.BatchSpec;
@@ -48,9 +49,36 @@
                 1, QueueOutlook.initial(NOW).hopeless(SPEC, pieces(1, NOW + 100), 4, NOW).size());
     }
 
-    private static List<Piece> pieces(int count, long usefulUntil) {
-        return IntStream.range(0, count)
-                .mapToObj(n -> new Piece("r", 0, n, "s", "k", List.of(), 0, "", usefulUntil, 0, 1))
-                .toList();
+    /** Guards against late requests that are held although others go first until their end. */
+    @Test
+    void latePiecesCountOnHalfOfTheRateOnly() {
+        PieceSchedule late = schedule(100, NOW + 2_000, NOW);
+        assertEquals(85, QueueOutlook.initial(NOW).hopeless(SPEC, late, 1, NOW).size());
+    }
+
+    private static PieceSchedule pieces(int count, long usefulUntil) {
+        return schedule(count, usefulUntil, Long.MAX_VALUE / 2);
+    }
+
+    private static PieceSchedule schedule(int count, long usefulUntil, long dueAt) {
+        List<Piece> pieces =
+                IntStream.range(0, count)
+                        .mapToObj(
+                                n ->
+                                        new Piece(
+                                                "r",
+                                                0,
+                                                n,
+                                                "s",
+                                                "k",
+                                                List.of(),
+                                                0,
+                                                "",
+                                                usefulUntil,
+                                                dueAt,
+                                                1))
+                        .toList();
+        Map<String, Integer> one = Map.of("a", 1);
+        return PieceSchedule.of(SPEC, pieces, new PieceSchedule.Capacity(1, one, one), NOW);
     }
 }
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/TimeEstimatesTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/TimeEstimatesTest.java
@@ -35,4 +35,16 @@
         }
         assertTrue(estimates.usualMillis("encoder", 0) > 450);
     }
+
+    /** Guards against long prompts that are late because short ones set their due times. */
+    @Test
+    void runOfALongPromptIsEstimatedFromLongPrompts() {
+        RunTimes runs = new RunTimes();
+        assertEquals(150, runs.usualMillis("report", 30_000, 150));
+        runs.observe("report", 1_000, 100);
+        assertEquals(100, runs.usualMillis("report", 30_000, 150));
+        runs.observe("report", 30_000, 900);
+        assertEquals(900, runs.usualMillis("report", 20_000, 150));
+        assertEquals(100, runs.usualMillis("report", 800, 150));
+    }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceMaker.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceMaker.java
@@ -200,7 +200,7 @@
     private void dropHopeless(BatchSpec spec, PieceSchedule schedule) {
         int replicas = registry.replicas().of(service).size();
         end(
-                outlook.hopeless(spec, schedule.inOrder(), replicas, clock.now()).stream()
+                outlook.hopeless(spec, schedule, replicas, clock.now()).stream()
                         .map(waiting::get)
                         .toList(),
                 PieceResult.Reason.LATE);
@@ -259,9 +259,7 @@
         ReplicaStatus status = statuses.of(batch.replica());
         String outcome;
         if (answer.isLeft()) {
-            boolean sent = answer.getLeft().sent();
-            status.updateHealth(health -> sent ? health.failed(now) : health.unreachable(now));
-            entries.forEach(entry -> complete(entry, PieceResult.Reason.FAILED));
+            lost(status, entries, answer.getLeft());
             outcome = answer.getLeft().reason();
         } else {
             outcome = taken(spec, batch.replica(), entries, answer.get());
@@ -283,6 +281,18 @@
                         outcome));
     }
 
+    /** Pieces of a call that never left this instance wait on for another replica. */
+    private void lost(ReplicaStatus status, List<Waiting> entries, HttpCalls.Failure failure) {
+        long now = clock.now();
+        if (failure.sent()) {
+            status.updateHealth(health -> health.failed(now));
+            entries.forEach(entry -> complete(entry, PieceResult.Reason.FAILED));
+        } else {
+            status.updateHealth(health -> health.unreachable(now));
+            entries.forEach(entry -> waiting.put(entry.piece(), entry));
+        }
+    }
+
     private String taken(
             BatchSpec spec, Replica replica, List<Waiting> entries, HttpCalls.Answer answer) {
         long now = clock.now();
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/Exchange.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/Exchange.java
@@ -327,6 +327,6 @@
         }
         inputsTaken();
         request.body().release();
-        trace.ended(status, reason, sends);
+        trace.ended(status, reason, sends, stages == null ? 0 : stages.madeCount());
     }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -23,6 +23,7 @@
 import org.sequoiaspindle.core.common.Timer;
 import org.sequoiaspindle.core.coordination.forwarding.RepeatBudgets;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatuses;
+import org.sequoiaspindle.core.coordination.forwarding.RunTimes;
 import org.sequoiaspindle.core.coordination.forwarding.TimeEstimates;
 import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
 import org.sequoiaspindle.core.protocol.forwarding.InstanceRegistration;
@@ -266,7 +267,7 @@
                         () -> registry.peers().size(),
                         clock),
                 new TimeEstimates(),
-                new TimeEstimates(),
+                new RunTimes(),
                 pieces,
                 pieces,
                 new ResultLocator(adapter.stages(), registry),
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingParts.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingParts.java
@@ -4,6 +4,7 @@
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.coordination.forwarding.RepeatBudgets;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatuses;
+import org.sequoiaspindle.core.coordination.forwarding.RunTimes;
 import org.sequoiaspindle.core.coordination.forwarding.TimeEstimates;
 import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
 import org.sequoiaspindle.core.protocol.forwarding.PieceMaker;
@@ -15,7 +16,6 @@
  * What all requests share. Each part is thread-safe.
  *
  * @param pieceTimes time from the order of a piece to its result, by service
- * @param runTimes time from the last result of a request to the first bytes of its answer, by route
  */
 record ForwardingParts(
         ForwardingSettings settings,
@@ -24,7 +24,7 @@
         ReplicaStatuses statuses,
         RepeatBudgets budgets,
         TimeEstimates pieceTimes,
-        TimeEstimates runTimes,
+        RunTimes runTimes,
         PieceMaker pieces,
         Releaser releaser,
         ResultLocator locator,
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestTrace.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestTrace.java
@@ -66,7 +66,8 @@
                                 parts.clock().now() - arrivedAt));
     }
 
-    void ended(int status, String reason, int sends) {
+    /** Notes the end of the request; {@code pieces} counts the results made for it. */
+    void ended(int status, String reason, int sends, int pieces) {
         long millis = parts.clock().now() - arrivedAt;
         String service = admitted == null ? "none" : admitted.service();
         parts.metrics().requestEnded(service, status, reason, millis);
@@ -82,6 +83,7 @@
                                 "firstBytesMs", firstBytesMillis,
                                 "durationMs", millis,
                                 "generation", parts.registry().table().version())
+                        .put("pieces", pieces)
                         .put("endpoint", endpoint)
                         .put("load", Math.round(load))
                         .put("loadAgeMs", loadAgeMillis);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/StageRun.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/StageRun.java
@@ -37,6 +37,7 @@
     private final Consumer<Refusal> failed;
     private StagePlan plan;
     private int generation;
+    private int made;
     private boolean ended;
 
     /**
@@ -91,6 +92,11 @@
         }
     }
 
+    /** Number of results that were made, those given up since included. */
+    int madeCount() {
+        return made;
+    }
+
     private void advance() {
         if (plan.isComplete()) {
             ended = true;
@@ -149,7 +155,12 @@
     }
 
     private long usualRunMillis() {
-        return (long) parts.runTimes().usualMillis(request.route().name(), LEAST_RUN_MS);
+        return (long)
+                parts.runTimes()
+                        .usualMillis(
+                                request.route().name(),
+                                request.facts().promptTokens(),
+                                LEAST_RUN_MS);
     }
 
     private long callMillis(StageSpec stage, int pieces) {
@@ -195,6 +206,7 @@
         }
         if (result instanceof PieceResult.Made made) {
             plan = plan.made(piece.stage(), piece.number(), made.handle());
+            this.made++;
             if (plan.isComplete(piece.stage())) {
                 parts.releaser().release(plan.spentBy(piece.stage()));
                 advance();
