Send requests to where their last shared part of the prompt was read

Requests were ranked by the last part of the prompt. Change: the part before it decides. The new test fails on the old ranking.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/Placement.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/Placement.java
@@ -35,7 +35,7 @@
             List<PromptPart> prompt,
             Map<String, Long> resultBytes,
             Set<ReplicaId> excluded) {
-        String affinity = prompt.isEmpty() ? "" : prompt.get(prompt.size() - 1).id();
+        String affinity = lastShared(prompt);
         Optional<String> near = resultsWorthStayingNear(prompt, resultBytes);
         if (near.isPresent()) {
             List<Candidate> local =
@@ -51,10 +51,22 @@
         return ReplicaChooser.AFFINE.choose(candidates, affinity, excluded);
     }
 
+    /**
+     * The last part that other requests may have in common with this one. The very last part holds
+     * what is new in the request, so that its identifier says nothing about where to go.
+     */
+    private static String lastShared(List<PromptPart> prompt) {
+        return prompt.isEmpty() ? "" : prompt.get(Math.max(0, prompt.size() - 2)).id();
+    }
+
     /** Data centre with most of the results, if moving them costs more than reading again. */
     private static Optional<String> resultsWorthStayingNear(
             List<PromptPart> prompt, Map<String, Long> resultBytes) {
-        long shared = prompt.stream().mapToLong(PromptPart::tokens).sum();
+        long shared =
+                prompt.stream()
+                        .limit(Math.max(1, prompt.size() - 1L))
+                        .mapToLong(PromptPart::tokens)
+                        .sum();
         return resultBytes.entrySet().stream()
                 .max(Map.Entry.comparingByValue(Comparator.naturalOrder()))
                 .filter(most -> most.getValue() > shared * BYTES_PER_TOKEN)
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/PlacementTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/PlacementTest.java
@@ -18,8 +18,23 @@
 /** Guards against prompts that are read again, results moved in vain, and crowded replicas. */
 final class PlacementTest {
 
-    private static final List<PromptPart> PROMPT =
-            List.of(new PromptPart("common", 2_000), new PromptPart("session", 1_000));
+    private static final List<PromptPart> PROMPT = prompt("new");
+
+    /** Guards against placement by the part that no other request has. */
+    @Test
+    void requestsWithTheSameSharedPartsMeetWhateverIsNewInThem() {
+        Replica first = choose(fleet(0, 0, 0, 0, 0, 0, 0, 0), Map.of());
+        for (int request = 0; request < 20; request++) {
+            Replica chosen =
+                    Placement.choose(
+                                    fleet(0, 0, 0, 0, 0, 0, 0, 0),
+                                    prompt("new " + request),
+                                    Map.of(),
+                                    Set.of())
+                            .orElseThrow();
+            assertEquals(first.id(), chosen.id());
+        }
+    }
 
     @Test
     void requestsOfOneSessionMeetAtOneReplicaWhateverTheLoadsBelowTheLimit() {
@@ -63,6 +78,13 @@
         assertEquals("other", choose(both, Map.of()).id().name());
     }
 
+    private static List<PromptPart> prompt(String last) {
+        return List.of(
+                new PromptPart("common", 2_000),
+                new PromptPart("file", 1_000),
+                new PromptPart(last, 500));
+    }
+
     private static Replica choose(List<Candidate> candidates, Map<String, Long> results) {
         return Placement.choose(candidates, PROMPT, results, Set.of()).orElseThrow();
     }
