Give connections up after 250 ms, and let unsent pieces wait

Cause: in cuts of a data centre, calls that made pieces waited 500 ms for a connection, and three such calls failed the request as STAGE_FAILED although other replicas were there. Change: the limit is 250 ms, over fifty times the usual time in a region; pieces of a call that never left wait on at the gathering instance.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceMaker.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceMaker.java
@@ -1,7 +1,6 @@
 package org.sequoiaspindle.daemon.transport.forwarding;
 
 import io.vavr.collection.LinkedHashMap;
-import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -23,18 +22,13 @@
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatus;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatuses;
 import org.sequoiaspindle.core.coordination.forwarding.ResultRoom;
-import org.sequoiaspindle.core.protocol.forwarding.AnswerFacts;
-import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
 import org.sequoiaspindle.core.protocol.forwarding.PieceMaker;
 import org.sequoiaspindle.core.protocol.forwarding.PieceResult;
 import org.sequoiaspindle.core.protocol.forwarding.Registry;
-import org.sequoiaspindle.core.protocol.forwarding.StageCodec;
 import org.sequoiaspindle.core.state.forwarding.BatchSpec;
 import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.core.state.forwarding.ReplicaId;
 import org.sequoiaspindle.core.state.forwarding.ServiceSpec;
-import org.sequoiaspindle.daemon.transport.http.ConnectionPool.Destination;
-import org.sequoiaspindle.daemon.transport.http.HttpCalls;
 
 /**
  * Gathers the pieces of one service and has them made in batches. Its state is confined to the
@@ -50,9 +44,6 @@
     /** Interval at which waiting pieces are looked at again without any news, in milliseconds. */
     private static final long RETRY_MS = 25;
 
-    /** Factor over the expected time after which a call is given up; machines share their load. */
-    private static final double PATIENCE = 3;
-
     /** A piece that waits for its batch. */
     private record Waiting(
             Piece piece, BooleanSupplier wanted, CompletableFuture<PieceResult> result) {}
@@ -61,8 +52,7 @@
     private final Worker worker;
     private final Registry registry;
     private final ReplicaStatuses statuses;
-    private final HttpDialect dialect;
-    private final StageCodec codec;
+    private final PieceCalls calls;
     private final MillisClock clock;
     private final EventLog events;
     private final Map<Piece, Waiting> waiting = new HashMap<>();
@@ -79,16 +69,14 @@
             Worker worker,
             Registry registry,
             ReplicaStatuses statuses,
-            HttpDialect dialect,
-            StageCodec codec,
+            PieceCalls calls,
             MillisClock clock,
             EventLog events) {
         this.service = service;
         this.worker = worker;
         this.registry = registry;
         this.statuses = statuses;
-        this.dialect = dialect;
-        this.codec = codec;
+        this.calls = calls;
         this.clock = clock;
         this.events = events;
         this.outlook = QueueOutlook.initial(clock.now());
@@ -225,127 +213,88 @@
         long bytes = batch.pieces().stream().mapToLong(Piece::resultBytes).sum();
         room.reserve(batch.replica().id(), bytes);
         long sentAt = clock.now();
-        worker.calls()
-                .execute(call(spec, batch, sentAt))
+        calls.make(spec, batch)
                 .thenAccept(
-                        answer -> {
+                        outcome -> {
                             status.finished();
                             room.unreserve(batch.replica().id(), bytes);
-                            answered(spec, batch, entries, answer, sentAt);
+                            String told = ended(spec, batch.replica(), entries, outcome);
+                            record(batch, told, clock.now() - sentAt);
                             advance();
                         });
     }
 
-    private HttpCalls.Call call(BatchSpec spec, BatchRule.Batch batch, long now) {
-        long latest = batch.pieces().stream().mapToLong(Piece::usefulUntil).max().orElse(now) - now;
-        double patient = spec.durationMillis(spec.maxPieces()) * (spec.queue() + 1) * PATIENCE;
-        long limit = Math.max(1, Math.min(latest, (long) patient));
-        return new HttpCalls.Call(
-                new Destination(batch.replica().address(), batch.replica().id().toString()),
-                "POST",
-                codec.runPath(),
-                codec.fields(batch.replica()),
-                codec.run(batch.pieces(), now),
-                limit);
-    }
-
-    private void answered(
-            BatchSpec spec,
-            BatchRule.Batch batch,
-            List<Waiting> entries,
-            Either<HttpCalls.Failure, HttpCalls.Answer> answer,
-            long sentAt) {
+    /** Takes the end of a call and says for the log what came of it. */
+    private String ended(
+            BatchSpec spec, Replica replica, List<Waiting> entries, PieceCalls.Outcome outcome) {
         long now = clock.now();
-        ReplicaStatus status = statuses.of(batch.replica());
-        String outcome;
-        if (answer.isLeft()) {
-            lost(status, entries, answer.getLeft());
-            outcome = answer.getLeft().reason();
-        } else {
-            outcome = taken(spec, batch.replica(), entries, answer.get());
+        ReplicaStatus status = statuses.of(replica);
+        if (outcome instanceof PieceCalls.Answered answered) {
+            status.updateHealth(health -> health.succeeded());
+            return answered(spec, replica, entries, answered.results());
         }
-        events.record(
-                LogEvent.PIECES_MADE,
-                LinkedHashMap.of(
-                        "service",
-                        service,
-                        "endpoint",
-                        batch.replica().id().toString(),
-                        "pieces",
-                        entries.size(),
-                        "waiting",
-                        waiting.size(),
-                        "durationMs",
-                        now - sentAt,
-                        "outcome",
-                        outcome));
-    }
-
-    /** Pieces of a call that never left this instance wait on for another replica. */
-    private void lost(ReplicaStatus status, List<Waiting> entries, HttpCalls.Failure failure) {
-        long now = clock.now();
-        if (failure.sent()) {
-            status.updateHealth(health -> health.failed(now));
-            entries.forEach(entry -> complete(entry, PieceResult.Reason.FAILED));
-        } else {
+        if (outcome instanceof PieceCalls.NotSent notSent) {
             status.updateHealth(health -> health.unreachable(now));
-            entries.forEach(entry -> waiting.put(entry.piece(), entry));
+            waitOn(entries);
+            return notSent.reason();
+        }
+        if (outcome instanceof PieceCalls.Full) {
+            busyUntil.put(replica.id(), now + (long) spec.callMillis());
+            waitOn(entries);
+            return "full";
         }
+        status.updateHealth(health -> health.failed(now));
+        entries.forEach(entry -> complete(entry, PieceResult.Reason.FAILED));
+        return ((PieceCalls.Failed) outcome).reason();
     }
 
-    private String taken(
-            BatchSpec spec, Replica replica, List<Waiting> entries, HttpCalls.Answer answer) {
+    private String answered(
+            BatchSpec spec, Replica replica, List<Waiting> entries, List<PieceResult> results) {
         long now = clock.now();
-        ReplicaStatus status = statuses.of(replica);
-        AnswerFacts facts = dialect.answers().read(answer.status(), answer.field());
-        facts.load().ifPresent(load -> status.loadReported(load, now));
-        if (facts.notExecuted() || !facts.isSuccess()) {
-            return refused(spec, replica, entries, facts);
-        }
-        Either<String, List<PieceResult>> results = codec.results(answer.body(), entries.size());
-        if (results.isLeft()) {
-            status.updateHealth(health -> health.failed(now));
-            entries.forEach(entry -> complete(entry, PieceResult.Reason.FAILED));
-            return results.getLeft();
-        }
-        status.updateHealth(health -> health.succeeded());
-        int noRoom = 0;
+        List<Waiting> withoutRoom = new ArrayList<>();
         for (int i = 0; i < entries.size(); i++) {
             Waiting entry = entries.get(i);
-            PieceResult result = results.get().get(i);
+            PieceResult result = results.get(i);
             if (result.equals(new PieceResult.NotMade(PieceResult.Reason.NO_ROOM))) {
-                waiting.put(entry.piece(), entry);
-                noRoom++;
+                withoutRoom.add(entry);
                 continue;
             }
             if (result instanceof PieceResult.Made made) {
-                room.made(
-                        replica.id(),
-                        made.handle(),
-                        entry.piece().resultBytes(),
-                        now + spec.resultTtlMillis());
+                long lapsesAt = now + spec.resultTtlMillis();
+                room.made(replica.id(), made.handle(), entry.piece().resultBytes(), lapsesAt);
             }
             entry.result().complete(result);
         }
-        outlook = outlook.completed(entries.size() - noRoom, now);
-        if (noRoom > 0) {
-            room.exhausted(replica.id(), spec.roomBytes(), now);
+        outlook = outlook.completed(entries.size() - withoutRoom.size(), now);
+        if (withoutRoom.isEmpty()) {
+            return "made";
         }
-        return noRoom == 0 ? "made" : "no room for " + noRoom;
+        room.exhausted(replica.id(), spec.roomBytes(), now);
+        waitOn(withoutRoom);
+        return "no room for " + withoutRoom.size();
     }
 
-    /** Pieces that a full replica did not begin wait on, until one has room. */
-    private String refused(
-            BatchSpec spec, Replica replica, List<Waiting> entries, AnswerFacts facts) {
-        long now = clock.now();
-        if (facts.notExecuted()) {
-            busyUntil.put(replica.id(), now + (long) spec.callMillis());
-            entries.forEach(entry -> waiting.put(entry.piece(), entry));
-        } else {
-            statuses.of(replica).updateHealth(health -> health.failed(now));
-            entries.forEach(entry -> complete(entry, PieceResult.Reason.FAILED));
-        }
-        return "status " + facts.status();
+    /** Pieces that were not begun wait for another call. */
+    private void waitOn(List<Waiting> entries) {
+        entries.forEach(entry -> waiting.put(entry.piece(), entry));
+    }
+
+    private void record(BatchRule.Batch batch, String outcome, long durationMillis) {
+        events.record(
+                LogEvent.PIECES_MADE,
+                LinkedHashMap.of(
+                        "service",
+                        service,
+                        "endpoint",
+                        batch.replica().id().toString(),
+                        "pieces",
+                        batch.pieces().size(),
+                        "waiting",
+                        waiting.size(),
+                        "durationMs",
+                        durationMillis,
+                        "outcome",
+                        outcome));
     }
 
     private static void complete(Waiting entry, PieceResult.Reason reason) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -277,15 +277,11 @@
     }
 
     private BatchingPieceMaker maker(String service, ReplicaStatuses statuses, Adapter adapter) {
-        return new BatchingPieceMaker(
-                service,
-                workers.get(loops.next()),
-                registry,
-                statuses,
-                adapter.dialect(),
-                adapter.stages(),
-                clock,
-                events);
+        Worker worker = workers.get(loops.next());
+        PieceCalls calls =
+                new PieceCalls(
+                        worker.calls(), statuses, adapter.dialect(), adapter.stages(), clock);
+        return new BatchingPieceMaker(service, worker, registry, statuses, calls, clock, events);
     }
 
     private static Timer timer(EventLoop loop) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ConnectionPool.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ConnectionPool.java
@@ -25,8 +25,12 @@
  */
 public final class ConnectionPool {
 
-    /** Time for a connection to be made, in milliseconds; within a region it takes a few. */
-    private static final int CONNECT_MS = 500;
+    /**
+     * Time for a connection to be made, in milliseconds. Within a region it takes a few; on a
+     * slowed machine some tens. What waits for an endpoint that was cut off goes elsewhere after
+     * it.
+     */
+    private static final int CONNECT_MS = 250;
 
     /** Interval at which idle connections are looked at, in milliseconds. */
     private static final long SWEEP_MS = 1_000;
