Order no pieces from a peer that cannot be reached

Cause: a peer that failed was given orders again after 2 s, each time for the 400 ms of a connection attempt or the 700 ms of silence, all through a cut. Change: a peer that failed gets no orders until a connection to it was made, which is tried every second while it is registered.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/GatheringPieceMaker.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/GatheringPieceMaker.java
@@ -105,7 +105,19 @@
 
     private PieceLink link(HostPort address) {
         return links.computeIfAbsent(
-                address, peer -> new PieceLink(peer, worker.loop(), clock, this::makeHere));
+                address,
+                peer ->
+                        new PieceLink(
+                                peer,
+                                worker.loop(),
+                                clock,
+                                this::makeHere,
+                                () -> isRegistered(peer),
+                                () -> links.remove(peer)));
+    }
+
+    private boolean isRegistered(HostPort address) {
+        return registry.peers().values().stream().anyMatch(peer -> peer.address().equals(address));
     }
 
     private void makeHere(
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PieceLink.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PieceLink.java
@@ -22,7 +22,8 @@
 
 /**
  * Orders pieces from one other instance. Orders of a peer that is unreachable or silent are handed
- * back, to be made in another way. Confined to its event loop.
+ * back, to be made in another way; it gets none until it can be reached again. Confined to its
+ * event loop.
  */
 final class PieceLink {
 
@@ -32,8 +33,8 @@
     /** Silence after which a peer with open orders is given up, in milliseconds. */
     private static final long SILENCE_MS = 700;
 
-    /** Time for which a peer that failed is not used, in milliseconds. */
-    static final long SUSPECT_MS = 2_000;
+    /** Interval at which a peer that failed is tried again, in milliseconds. */
+    static final long PROBE_MS = 1_000;
 
     private static final int CONNECT_MS = 400;
 
@@ -52,15 +53,31 @@
     private final EventLoop loop;
     private final MillisClock clock;
     private final Fallback fallback;
+    private final BooleanSupplier registered;
+    private final Runnable forget;
     private final Map<Long, Open> open = new HashMap<>();
     private Channel channel;
     private boolean connecting;
     private boolean pinging;
     private long nextNumber;
     private long heardAt;
-    private volatile long suspectUntil = Long.MIN_VALUE;
-
-    PieceLink(HostPort address, EventLoop loop, MillisClock clock, Fallback fallback) {
+    private volatile boolean trusted = true;
+
+    /**
+     * A link that connects with its first order.
+     *
+     * @param registered whether the peer is known still
+     * @param forget called instead of another try once it is not
+     */
+    PieceLink(
+            HostPort address,
+            EventLoop loop,
+            MillisClock clock,
+            Fallback fallback,
+            BooleanSupplier registered,
+            Runnable forget) {
+        this.registered = registered;
+        this.forget = forget;
         this.address = address;
         this.loop = loop;
         this.clock = clock;
@@ -69,7 +86,7 @@
 
     /** Whether the peer may be used; callable from any thread. */
     boolean isTrusted() {
-        return clock.now() >= suspectUntil;
+        return trusted;
     }
 
     void order(Piece piece, BooleanSupplier wanted, CompletableFuture<PieceResult> result) {
@@ -126,6 +143,7 @@
                     connecting = false;
                     if (done.isSuccess()) {
                         channel = future.channel();
+                        trusted = true;
                         Map.copyOf(open).forEach(this::send);
                     } else {
                         giveUp();
@@ -179,9 +197,18 @@
     }
 
     private void giveUp() {
-        suspectUntil = clock.now() + SUSPECT_MS;
+        trusted = false;
+        loop.schedule(this::probe, PROBE_MS, TimeUnit.MILLISECONDS);
         List<Open> orders = List.copyOf(open.values());
         open.clear();
         orders.forEach(order -> fallback.make(order.piece(), order.wanted(), order.result()));
     }
+
+    private void probe() {
+        if (!registered.getAsBoolean()) {
+            forget.run();
+        } else if (channel == null && !connecting) {
+            connect();
+        }
+    }
 }
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/PieceLinkTest.java
@@ -0,0 +1,88 @@
+package org.sequoiaspindle.daemon.transport.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.coordination.forwarding.Piece;
+import org.sequoiaspindle.core.state.forwarding.HostPort;
+
+/** Guards against orders that wait again and again for an instance that cannot be reached. */
+final class PieceLinkTest {
+
+    private static final long LIMIT_S = 20;
+    private static final Piece PIECE =
+            new Piece("request", 0, 0, "encoder", "key", List.of(), 10, "", 9_000, 9_000, 1);
+
+    private final MultiThreadIoEventLoopGroup loops =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final BlockingQueue<Piece> handedBack = new LinkedBlockingQueue<>();
+    private final AtomicBoolean registered = new AtomicBoolean(true);
+    private final CountDownLatch forgotten = new CountDownLatch(1);
+
+    @AfterEach
+    void close() {
+        loops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    }
+
+    @Test
+    void unreachablePeerGetsNoOrdersUntilItCanBeReachedAgain() throws Exception {
+        InetSocketAddress address = freeAddress();
+        PieceLink link = link(address);
+        order(link);
+        assertEquals(PIECE, handedBack.poll(LIMIT_S, TimeUnit.SECONDS));
+        TimeUnit.MILLISECONDS.sleep(2 * PieceLink.PROBE_MS + PieceLink.PROBE_MS / 2);
+        assertFalse(link.isTrusted());
+        try (ServerSocket peer = new ServerSocket()) {
+            peer.bind(address);
+            peer.setSoTimeout((int) TimeUnit.SECONDS.toMillis(LIMIT_S));
+            peer.accept().close();
+            assertTrue(forgotten.getCount() > 0);
+        }
+    }
+
+    @Test
+    void peerThatIsNoLongerRegisteredIsForgotten() throws Exception {
+        PieceLink link = link(freeAddress());
+        registered.set(false);
+        order(link);
+        assertTrue(forgotten.await(LIMIT_S, TimeUnit.SECONDS));
+    }
+
+    private PieceLink link(InetSocketAddress address) {
+        return new PieceLink(
+                new HostPort(address.getAddress().getHostAddress(), address.getPort()),
+                loops.next(),
+                MillisClock.monotonic(),
+                (piece, wanted, result) -> handedBack.add(piece),
+                registered::get,
+                forgotten::countDown);
+    }
+
+    private void order(PieceLink link) {
+        loops.next().execute(() -> link.order(PIECE, () -> true, new CompletableFuture<>()));
+    }
+
+    /** An address at which nobody listens. */
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) socket.getLocalSocketAddress();
+        }
+    }
+}
