--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/Registry.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/Registry.java
@@ -43,6 +43,7 @@
             new AtomicReference<>(KeyConfirmation.NONE);
     private final AtomicReference<Long> configurationRevision = new AtomicReference<>(-1L);
     private final AtomicBoolean contact = new AtomicBoolean();
+    private final AtomicBoolean replicasKnown = new AtomicBoolean();
     private volatile long regainedAt = Long.MIN_VALUE / 2;
 
     public Registry(RegistryLayout layout, MillisClock clock, MillisClock wall, EventLog events) {
@@ -61,6 +62,11 @@
         return replicas.get().table();
     }
 
+    /** Whether a configuration and the replicas have been read, so that requests can be served. */
+    public boolean isComplete() {
+        return !table().isNone() && replicasKnown.get();
+    }
+
     /** The registered instances of the system, by name; this one is among them. */
     public Map<String, PeerInstance> peers() {
         return peers.get();
@@ -89,6 +95,7 @@
         Collection<RegisteredEntry> entries =
                 items.stream().map(this::entry).flatMap(Optional::stream).toList();
         update(directory -> directory.replaced(entries, regainedAt, clock.now()));
+        replicasKnown.set(true);
     }
 
     /** Takes a change of any key below the followed prefixes. */
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/RegistryFollowerTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/RegistryFollowerTest.java
@@ -1,12 +1,14 @@
 package org.sequoiaspindle.core.protocol.forwarding;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.TreeMap;
@@ -19,7 +21,9 @@
 import org.sequoiaspindle.core.protocol.store.StoreCommand;
 import org.sequoiaspindle.core.protocol.store.StoreResult;
 import org.sequoiaspindle.core.protocol.store.StoreValue;
+import org.sequoiaspindle.core.state.forwarding.ForwardingTable;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
+import org.sequoiaspindle.core.state.forwarding.IngressLimits;
 import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.core.state.forwarding.ReplicaId;
 
@@ -29,6 +33,9 @@
     /** Time within which an instance in contact has to act on a leaving replica. */
     private static final long LEAVING_MS = 2_000;
 
+    private static final ForwardingTable TABLE =
+            new ForwardingTable(7, List.of(), List.of(), IngressLimits.DEFAULT, Map.of(), false);
+
     private final VirtualTime time = new VirtualTime(0, new Random(1));
     private final ItemStore store = new ItemStore();
     private final Registry registry = new Registry(layout(), time, time, (event, fields) -> {});
@@ -45,6 +52,20 @@
         assertTrue(registry.replicas().all().isEmpty());
     }
 
+    /** Guards against an instance that is ready, takes requests and knows no replica for them. */
+    @Test
+    void registryIsIncompleteUntilTheReplicasWereListed() {
+        store.write("op/config", "any");
+        store.listsReplicas = false;
+        follower.start();
+        time.advance(100);
+        assertEquals(7, registry.table().version());
+        assertFalse(registry.isComplete());
+        store.listsReplicas = true;
+        time.advance(LEAVING_MS);
+        assertTrue(registry.isComplete());
+    }
+
     @Test
     void watchThatDeliversIsNotReplacedByListings() {
         store.write("replicas/one", "one");
@@ -64,7 +85,7 @@
         return new RegistryLayout(
                 "op/config",
                 "replicas/",
-                value -> Either.left("none"),
+                value -> Either.right(TABLE),
                 RegistryFollowerTest::replica);
     }
 
@@ -87,6 +108,7 @@
         private final List<Watch> watches = new ArrayList<>();
         private long revision = 1;
         private int replicaListings;
+        private boolean listsReplicas = true;
 
         private record Watch(long after, CompletableFuture<StoreResult> answer) {}
 
@@ -116,7 +138,12 @@
         @Override
         public CompletionStage<StoreResult> execute(StoreCommand command) {
             if (command instanceof StoreCommand.ListItems list) {
-                replicaListings += list.prefix().equals("replicas/") ? 1 : 0;
+                boolean ofReplicas = list.prefix().equals("replicas/");
+                if (ofReplicas && !listsReplicas) {
+                    return CompletableFuture.completedFuture(
+                            new StoreResult.Unavailable("not now"));
+                }
+                replicaListings += ofReplicas ? 1 : 0;
                 Vector<StoreChange.Written> found =
                         Vector.ofAll(items.values())
                                 .filter(item -> item.key().startsWith(list.prefix()));
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -234,7 +234,7 @@
     }
 
     private boolean isReady() {
-        return !registry.table().isNone() && !connections.isDraining() && parts.keysConfirmed();
+        return registry.isComplete() && !connections.isDraining() && parts.keysConfirmed();
     }
 
     private Channel status(HostPort address, String path, Supplier<StatusListener.Page> page) {
