Check keys before the stages, and order a queue only when it is of use

The gathering instance ordered its whole queue at each result that was given up, also without a free replica. Changes: a request whose stages would outlast its key is refused before them; one that was accepted may be sent until 0.94 of the limit. Pieces are kept by identity, so that equal orders are all answered.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/QueueOutlook.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/QueueOutlook.java
@@ -55,24 +55,22 @@
         List<Piece> hopeless = new ArrayList<>();
         double wait = 0;
         for (Piece piece : schedule.onTime()) {
-            wait = addUnlessHopeless(piece, first, wait, 1 / rate, hopeless);
+            if (first + wait > piece.usefulUntil()) {
+                hopeless.add(piece);
+            } else {
+                wait += 1 / rate;
+            }
         }
         for (Piece piece : schedule.late()) {
-            wait = addUnlessHopeless(piece, first, wait, 1 / (rate * LATE_SHARE), hopeless);
+            if (first + wait > piece.usefulUntil()) {
+                hopeless.add(piece);
+            } else {
+                wait += 1 / (rate * LATE_SHARE);
+            }
         }
         return hopeless;
     }
 
-    /** The wait of the pieces behind this one. */
-    private static double addUnlessHopeless(
-            Piece piece, double first, double wait, double millisEach, List<Piece> hopeless) {
-        if (first + wait > piece.usefulUntil()) {
-            hopeless.add(piece);
-            return wait;
-        }
-        return wait + millisEach;
-    }
-
     /** Rate at which pieces are expected to be made, a millisecond. */
     public double piecesPerMilli(BatchSpec spec, int replicas, long now) {
         double full = spec.maxPieces() / spec.durationMillis(spec.maxPieces());
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/StagePlan.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/StagePlan.java
@@ -140,6 +140,18 @@
         return spent;
     }
 
+    /**
+     * Time of the longest chain of stages, in milliseconds.
+     *
+     * @param millis time of one stage
+     */
+    public long millis(ToLongFunction<StageSpec> millis) {
+        return stages.stream()
+                .mapToLong(stage -> millis.applyAsLong(stage) + millisAfter(stage.number(), millis))
+                .max()
+                .orElse(0);
+    }
+
     /**
      * Time of the longest chain of stages that follow a stage, in milliseconds.
      *
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/StagePlanTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/StagePlanTest.java
@@ -45,6 +45,16 @@
         assertEquals(List.of("r"), plan.spentBy(2));
     }
 
+    /** Guards against due times that ignore later stages, or count stages that run at once. */
+    @Test
+    void timeOfThePlanIsThatOfItsLongestChain() {
+        StagePlan plan = plan(1, 1, 1);
+        assertEquals(50, plan.millis(stage -> stage.number() == 0 ? 50 : 20));
+        assertEquals(40, plan.millis(stage -> 20));
+        assertEquals(20, plan.millisAfter(1, stage -> 20));
+        assertEquals(20, plan(1, 1, 0).millis(stage -> 20));
+    }
+
     @Test
     void stageWithoutPiecesIsLeftOut() {
         assertTrue(plan(0, 0, 0).isComplete());
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceMaker.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceMaker.java
@@ -3,6 +3,7 @@
 import io.vavr.collection.LinkedHashMap;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -55,7 +56,10 @@
     private final PieceCalls calls;
     private final MillisClock clock;
     private final EventLog events;
-    private final Map<Piece, Waiting> waiting = new HashMap<>();
+
+    /** By identity: equal pieces may be ordered twice, and each order has to be answered. */
+    private final Map<Piece, Waiting> waiting = new IdentityHashMap<>();
+
     private final ResultRoom room = new ResultRoom();
 
     /** Times until which replicas that refused a call as full are taken for busy. */
@@ -63,6 +67,8 @@
 
     private QueueOutlook outlook;
     private boolean retryScheduled;
+    private boolean soonScheduled;
+    private long orderedAt = Long.MIN_VALUE / 2;
 
     BatchingPieceMaker(
             String service,
@@ -89,11 +95,7 @@
                 .execute(
                         () -> {
                             waiting.put(piece, new Waiting(piece, wanted, result));
-                            if (!retryScheduled) {
-                                retryScheduled = true;
-                                worker.loop()
-                                        .schedule(this::retry, GATHER_MS, TimeUnit.MILLISECONDS);
-                            }
+                            advanceSoon();
                         });
         return result;
     }
@@ -105,11 +107,24 @@
                         () -> {
                             handles.forEach(handle -> room.released(maker.id(), handle));
                             if (!waiting.isEmpty()) {
-                                advance();
+                                advanceSoon();
                             }
                         });
     }
 
+    /** Lets what belongs together arrive, and looks at all of it once. */
+    private void advanceSoon() {
+        if (!soonScheduled) {
+            soonScheduled = true;
+            worker.loop().schedule(this::advanceNow, GATHER_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void advanceNow() {
+        soonScheduled = false;
+        advance();
+    }
+
     private void retry() {
         retryScheduled = false;
         advance();
@@ -122,24 +137,35 @@
             endAll(PieceResult.Reason.NO_REPLICA);
             return;
         }
+        advance(spec.get(), replicas);
+        if (!waiting.isEmpty() && !retryScheduled) {
+            retryScheduled = true;
+            worker.loop().schedule(this::retry, RETRY_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void advance(BatchSpec spec, List<Replica> replicas) {
+        List<Candidate> candidates = candidates(spec, replicas);
+        boolean free = candidates.stream().anyMatch(c -> BatchRule.isFree(spec, c));
+        // Ordering a long queue takes long; without a free replica it can only show what to drop.
+        if (!free && clock.now() - orderedAt < RETRY_MS) {
+            return;
+        }
+        orderedAt = clock.now();
         dropUnwanted();
-        dropHopeless(spec.get(), schedule(spec.get(), candidates(spec.get(), replicas)));
-        while (true) {
-            List<Candidate> candidates = candidates(spec.get(), replicas);
+        dropHopeless(spec, schedule(spec, candidates));
+        while (free && !waiting.isEmpty()) {
             Optional<BatchRule.Batch> batch =
                     BatchRule.next(
-                            spec.get(),
-                            schedule(spec.get(), candidates),
+                            spec,
+                            schedule(spec, candidates),
                             candidates,
                             replica -> room.usedBytes(replica, clock.now()));
             if (batch.isEmpty()) {
-                break;
+                return;
             }
-            send(spec.get(), batch.get());
-        }
-        if (!waiting.isEmpty() && !retryScheduled) {
-            retryScheduled = true;
-            worker.loop().schedule(this::retry, RETRY_MS, TimeUnit.MILLISECONDS);
+            send(spec, batch.get());
+            candidates = candidates(spec, replicas);
         }
     }
 
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/Exchange.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/Exchange.java
@@ -103,7 +103,8 @@
     void start() {
         parts.metrics().requestStarted();
         Admission admission =
-                Admission.decide(parts.registry().table(), request.facts(), parts.keysConfirmed());
+                Admission.decide(
+                        parts.registry().table(), request.facts(), parts.keysAllowAccepting());
         if (admission instanceof Admission.Refused refused) {
             refuse(refused.reason());
             return;
@@ -134,6 +135,11 @@
                                 endAt),
                         this::staged,
                         this::refuse);
+        // Work on the stages would be lost if the key could not be relied on at their end.
+        if (admitted.holder().isPresent() && !parts.keysAllowSending(stages.usualMillis())) {
+            refuse(Refusal.KEYS_UNCONFIRMED);
+            return;
+        }
         stages.start();
     }
 
@@ -150,7 +156,7 @@
         if (ended) {
             return;
         }
-        if (admitted.holder().isPresent() && !parts.keysConfirmed()) {
+        if (admitted.holder().isPresent() && !parts.keysAllowSending(0)) {
             refuseUnlessRun(Refusal.KEYS_UNCONFIRMED);
             return;
         }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -234,7 +234,7 @@
     }
 
     private boolean isReady() {
-        return registry.isComplete() && !connections.isDraining() && parts.keysConfirmed();
+        return registry.isComplete() && !connections.isDraining() && parts.keysAllowAccepting();
     }
 
     private Channel status(HostPort address, String path, Supplier<StatusListener.Page> page) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingParts.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingParts.java
@@ -33,13 +33,33 @@
         EventLog events) {
 
     /**
-     * Part of the time allowed for revoking a key that a confirmation may be old. The rest covers
-     * requests that have been accepted and not sent yet.
+     * Part of the time allowed for revoking a key that a confirmation may be old when a request is
+     * accepted. The rest covers requests that are accepted and not sent yet.
      */
-    private static final double CONFIRMATION_SHARE = 0.8;
+    private static final double ACCEPT_SHARE = 0.8;
 
-    boolean keysConfirmed() {
+    /**
+     * Part of that time that a confirmation may be old when a request is sent. The rest covers the
+     * way to the endpoint and an event loop that is busy.
+     */
+    private static final double SEND_SHARE = 0.94;
+
+    /** Whether requests with a key may be accepted. */
+    boolean keysAllowAccepting() {
+        return keysConfirmed(ACCEPT_SHARE, 0);
+    }
+
+    /**
+     * Whether a request with a key may be sent.
+     *
+     * @param afterMillis time from now until it is
+     */
+    boolean keysAllowSending(long afterMillis) {
+        return keysConfirmed(SEND_SHARE, afterMillis);
+    }
+
+    private boolean keysConfirmed(double share, long afterMillis) {
         long allowed = settings.revocationMillis();
-        return allowed == 0 || registry.keysConfirmed((long) (allowed * CONFIRMATION_SHARE));
+        return allowed == 0 || registry.keysConfirmed((long) (allowed * share) - afterMillis);
     }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PieceFrames.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PieceFrames.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.flush.FlushConsolidationHandler;
 import io.vavr.control.Either;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -22,6 +23,9 @@
     /** A piece with a few thousand inputs fits. */
     private static final int MAX_FRAME_BYTES = 256 * 1024;
 
+    /** Most frames that are written in one system call; a request has about ten pieces a stage. */
+    private static final int FLUSHES_TOGETHER = 64;
+
     private final BiConsumer<Channel, PieceMessage> received;
     private final Consumer<Channel> closed;
 
@@ -33,6 +37,7 @@
     static void install(
             Channel channel, BiConsumer<Channel, PieceMessage> received, Consumer<Channel> closed) {
         channel.pipeline()
+                .addLast(new FlushConsolidationHandler(FLUSHES_TOGETHER, true))
                 .addLast(
                         new LengthFieldBasedFrameDecoder(
                                 MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/StageRun.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/StageRun.java
@@ -140,18 +140,19 @@
         return plan.millisAfter(stage.number(), later -> callMillis(later, 1));
     }
 
+    /** Time that all stages take at present, in milliseconds. */
+    long usualMillis() {
+        return plan.millis(this::usualMillis);
+    }
+
     /** Time that the stages after this one take at present. */
     private long usualLaterMillis(StageSpec stage) {
-        return plan.millisAfter(
-                stage.number(),
-                later ->
-                        (long)
-                                parts.pieceTimes()
-                                        .usualMillis(
-                                                later.service(),
-                                                callMillis(
-                                                        later,
-                                                        request.facts().pieces(later.number()))));
+        return plan.millisAfter(stage.number(), this::usualMillis);
+    }
+
+    private long usualMillis(StageSpec stage) {
+        long nominal = callMillis(stage, request.facts().pieces(stage.number()));
+        return (long) parts.pieceTimes().usualMillis(stage.service(), nominal);
     }
 
     private long usualRunMillis() {
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingPartsTest.java
@@ -0,0 +1,106 @@
+package org.sequoiaspindle.daemon.transport.forwarding;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.collection.Vector;
+import io.vavr.control.Either;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.common.LogEvent;
+import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.protocol.forwarding.Registry;
+import org.sequoiaspindle.core.protocol.forwarding.RegistryFollower;
+import org.sequoiaspindle.core.protocol.forwarding.RegistryLayout;
+import org.sequoiaspindle.core.protocol.store.Store;
+import org.sequoiaspindle.core.protocol.store.StoreChange;
+import org.sequoiaspindle.core.protocol.store.StoreResult;
+import org.sequoiaspindle.core.protocol.store.StoreValue;
+import org.sequoiaspindle.core.state.forwarding.ForwardingTable;
+import org.sequoiaspindle.core.state.forwarding.HostPort;
+import org.sequoiaspindle.daemon.state.ForwardingSettings;
+
+/** Guards against requests that run under a key that may have been taken away. */
+final class ForwardingPartsTest {
+
+    private static final long REVOCATION_MS = 5_000;
+    private static final HostPort ANY = new HostPort("127.0.0.1", 0);
+
+    private final AtomicLong now = new AtomicLong(100_000);
+    private final ForwardingParts parts = parts();
+
+    @Test
+    void keyIsReliedOnForPartOfTheLimitSinceTheLastConfirmation() {
+        now.addAndGet(3_900);
+        assertTrue(parts.keysAllowAccepting());
+        now.addAndGet(200);
+        assertFalse(parts.keysAllowAccepting());
+    }
+
+    @Test
+    void acceptedRequestIsSentALittleLongerButNeverAfterTheLimit() {
+        now.addAndGet(4_600);
+        assertTrue(parts.keysAllowSending(0));
+        now.addAndGet(200);
+        assertFalse(parts.keysAllowSending(0));
+    }
+
+    @Test
+    void requestWhoseStagesOutlastTheKeyIsNotBegun() {
+        now.addAndGet(3_500);
+        assertTrue(parts.keysAllowSending(1_000));
+        assertFalse(parts.keysAllowSending(1_500));
+    }
+
+    /** Parts whose registry has read the configuration once, at the present time. */
+    private ForwardingParts parts() {
+        MillisClock clock = now::get;
+        RegistryLayout layout =
+                new RegistryLayout(
+                        "configuration",
+                        "replicas/",
+                        value -> Either.right(ForwardingTable.NONE),
+                        item -> Optional.empty());
+        Registry registry = new Registry(layout, clock, clock, (event, fields) -> {});
+        StoreChange.Written item =
+                new StoreChange.Written("configuration", StoreValue.ofText("any"), 1);
+        Store store =
+                command ->
+                        CompletableFuture.completedFuture(
+                                new StoreResult.Listed(Vector.of(item), false, 1));
+        new RegistryFollower(store, layout, registry, (delay, task) -> () -> {}).start();
+        return new ForwardingParts(
+                settings(),
+                registry,
+                null,
+                null,
+                null,
+                null,
+                null,
+                null,
+                null,
+                null,
+                null,
+                clock,
+                null);
+    }
+
+    private static ForwardingSettings settings() {
+        return new ForwardingSettings(
+                "one",
+                "a",
+                ANY,
+                ANY,
+                ANY,
+                ANY,
+                ANY,
+                1,
+                8_000,
+                REVOCATION_MS,
+                new ForwardingSettings.Repeats(0.2, 10_000, 50),
+                3_000,
+                LogEvent.Level.INFO);
+    }
+}
