--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/Placement.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/Placement.java
@@ -44,7 +44,7 @@
                             .filter(c -> !c.ejected())
                             .toList();
             Optional<Replica> chosen = ReplicaChooser.AFFINE.choose(local, affinity, excluded);
-            if (chosen.isPresent() && isAcceptable(chosen.get(), candidates)) {
+            if (chosen.isPresent() && !isCrowded(chosen.get(), candidates)) {
                 return chosen;
             }
         }
@@ -73,12 +73,10 @@
                 .map(Map.Entry::getKey);
     }
 
-    /** Whether the load of a replica is not far above the mean of all. */
-    private static boolean isAcceptable(Replica chosen, List<Candidate> candidates) {
-        double mean = candidates.stream().mapToDouble(Candidate::load).average().orElse(0);
-        double limit = mean * ReplicaChooser.MAX_IMBALANCE + ReplicaChooser.FREE_REQUESTS;
+    private static boolean isCrowded(Replica chosen, List<Candidate> candidates) {
+        double limit = ReplicaChooser.loadLimit(candidates);
         return candidates.stream()
                 .filter(candidate -> candidate.replica().equals(chosen))
-                .allMatch(candidate -> candidate.load() <= limit);
+                .anyMatch(candidate -> candidate.load() > limit);
     }
 }
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaChooser.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaChooser.java
@@ -61,14 +61,19 @@
                 if (usable.isEmpty() || affinity.isEmpty()) {
                     return LEAST_LOADED.choose(candidates, affinity, excluded);
                 }
-                double mean = usable.stream().mapToDouble(Candidate::load).average().orElse(0);
-                double limit = mean * MAX_IMBALANCE + FREE_REQUESTS;
+                double limit = loadLimit(usable);
                 return usable.stream()
                         .filter(candidate -> candidate.load() <= limit)
                         .max((a, b) -> Long.compareUnsigned(rank(affinity, a), rank(affinity, b)))
                         .map(Candidate::replica);
             };
 
+    /** Load above which a replica is crowded compared with the others. */
+    static double loadLimit(List<Candidate> candidates) {
+        double mean = candidates.stream().mapToDouble(Candidate::load).average().orElse(0);
+        return mean * MAX_IMBALANCE + FREE_REQUESTS;
+    }
+
     /** Cost above every load, so that an ejected replica is taken only if there is no other. */
     double EJECTED_COST = 1e6;
 
