--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -123,7 +123,8 @@
                         local,
                         releaser,
                         new ResultLocator(adapter.stages(), registry),
-                        clock);
+                        clock,
+                        events);
         parts = parts(adapter, statuses, pieces);
     }
 
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/GatheringPieceMaker.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/GatheringPieceMaker.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Collectors;
+import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.coordination.forwarding.Piece;
 import org.sequoiaspindle.core.coordination.forwarding.PieceOwners;
@@ -31,6 +32,7 @@
     private final Releaser localReleaser;
     private final ResultLocator locator;
     private final MillisClock clock;
+    private final EventLog events;
     private final Map<HostPort, PieceLink> links = new ConcurrentHashMap<>();
 
     /**
@@ -47,7 +49,8 @@
             PieceMaker local,
             Releaser localReleaser,
             ResultLocator locator,
-            MillisClock clock) {
+            MillisClock clock,
+            EventLog events) {
         this.self = self;
         this.worker = worker;
         this.registry = registry;
@@ -55,6 +58,7 @@
         this.localReleaser = localReleaser;
         this.locator = locator;
         this.clock = clock;
+        this.events = events;
     }
 
     @Override
@@ -111,6 +115,7 @@
                                 peer,
                                 worker.loop(),
                                 clock,
+                                events,
                                 this::makeHere,
                                 () -> isRegistered(peer),
                                 () -> links.remove(peer)));
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PieceLink.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PieceLink.java
@@ -7,13 +7,15 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.vavr.collection.HashMap;
 import java.net.InetSocketAddress;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import org.sequoiaspindle.core.common.EventLog;
+import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.coordination.forwarding.Piece;
 import org.sequoiaspindle.core.protocol.forwarding.PieceMessage;
@@ -52,10 +54,11 @@
     private final HostPort address;
     private final EventLoop loop;
     private final MillisClock clock;
+    private final EventLog events;
     private final Fallback fallback;
     private final BooleanSupplier registered;
     private final Runnable forget;
-    private final Map<Long, Open> open = new HashMap<>();
+    private final Map<Long, Open> open = new java.util.HashMap<>();
     private Channel channel;
     private boolean connecting;
     private boolean pinging;
@@ -73,6 +76,7 @@
             HostPort address,
             EventLoop loop,
             MillisClock clock,
+            EventLog events,
             Fallback fallback,
             BooleanSupplier registered,
             Runnable forget) {
@@ -81,6 +85,7 @@
         this.address = address;
         this.loop = loop;
         this.clock = clock;
+        this.events = events;
         this.fallback = fallback;
     }
 
@@ -143,7 +148,7 @@
                     connecting = false;
                     if (done.isSuccess()) {
                         channel = future.channel();
-                        trusted = true;
+                        trust();
                         Map.copyOf(open).forEach(this::send);
                     } else {
                         giveUp();
@@ -197,13 +202,25 @@
     }
 
     private void giveUp() {
-        trusted = false;
+        if (trusted) {
+            trusted = false;
+            events.record(
+                    LogEvent.PEER_SUSPECTED,
+                    HashMap.of("peer", address.toString(), "openOrders", open.size()));
+        }
         loop.schedule(this::probe, PROBE_MS, TimeUnit.MILLISECONDS);
         List<Open> orders = List.copyOf(open.values());
         open.clear();
         orders.forEach(order -> fallback.make(order.piece(), order.wanted(), order.result()));
     }
 
+    private void trust() {
+        if (!trusted) {
+            trusted = true;
+            events.record(LogEvent.PEER_CONNECTED, HashMap.of("peer", address.toString()));
+        }
+    }
+
     private void probe() {
         if (!registered.getAsBoolean()) {
             forget.run();
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/PieceLinkTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/PieceLinkTest.java
@@ -13,12 +13,14 @@
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.coordination.forwarding.Piece;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
@@ -33,6 +35,7 @@
     private final MultiThreadIoEventLoopGroup loops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final BlockingQueue<Piece> handedBack = new LinkedBlockingQueue<>();
+    private final List<LogEvent> events = new CopyOnWriteArrayList<>();
     private final AtomicBoolean registered = new AtomicBoolean(true);
     private final CountDownLatch forgotten = new CountDownLatch(1);
 
@@ -49,6 +52,7 @@
         assertEquals(PIECE, handedBack.poll(LIMIT_S, TimeUnit.SECONDS));
         TimeUnit.MILLISECONDS.sleep(2 * PieceLink.PROBE_MS + PieceLink.PROBE_MS / 2);
         assertFalse(link.isTrusted());
+        assertEquals(List.of(LogEvent.PEER_SUSPECTED), events);
         try (ServerSocket peer = new ServerSocket()) {
             peer.bind(address);
             peer.setSoTimeout((int) TimeUnit.SECONDS.toMillis(LIMIT_S));
@@ -70,6 +74,7 @@
                 new HostPort(address.getAddress().getHostAddress(), address.getPort()),
                 loops.next(),
                 MillisClock.monotonic(),
+                (event, fields) -> events.add(event),
                 (piece, wanted, result) -> handedBack.add(piece),
                 registered::get,
                 forgotten::countDown);
