Explain the end of a request from the logs

On call, a failed request had to be searched by hand in the logs of all instances. The command prints the request's lines with what the instances learned meanwhile and names the first cause that it finds.

--- a/cli/src/main/java/org/sequoiaspindle/cli/state/Report.java
+++ b/cli/src/main/java/org/sequoiaspindle/cli/state/Report.java
@@ -39,4 +39,7 @@
 
     /** A salted hash of a secret. */
     record Hash(String secretHash) implements Report {}
+
+    /** What the logs say of a request. */
+    record Explained(Explanation explanation) implements Report {}
 }
--- a/cli/src/main/java/org/sequoiaspindle/cli/transport/CommandTable.java
+++ b/cli/src/main/java/org/sequoiaspindle/cli/transport/CommandTable.java
@@ -6,6 +6,7 @@
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import org.sequoiaspindle.cli.protocol.Command;
+import org.sequoiaspindle.cli.protocol.ExplainCommand;
 import org.sequoiaspindle.cli.protocol.HashSecretCommand;
 import org.sequoiaspindle.cli.protocol.InstanceSession;
 import org.sequoiaspindle.cli.protocol.PublishCommand;
@@ -17,6 +18,9 @@
 /** The commands of the tool in the order of the help text. */
 final class CommandTable {
 
+    /** Most log files of one command; one for each instance of a large installation. */
+    private static final int MAX_FILES = 1_000;
+
     static final Vector<CommandDefinition> ALL =
             Vector.of(
                     new CommandDefinition(
@@ -61,6 +65,13 @@
                             1,
                             1,
                             RequestOptions::declare),
+                    new CommandDefinition(
+                            "explain",
+                            "REQUEST-ID FILE...",
+                            "Tells from the logs of instances why a request ended as it did.",
+                            2,
+                            MAX_FILES,
+                            parser -> CommandTable::explain),
                     new CommandDefinition(
                             "hash-secret",
                             "",
@@ -157,6 +168,11 @@
         return Either.right(() -> SetCommands.diff(session, file));
     }
 
+    private static Either<String, Command> explain(OptionSet options, Surroundings surroundings) {
+        Vector<String> arguments = Vector.ofAll(options.nonOptionArguments()).map(Object::toString);
+        return Either.right(() -> ExplainCommand.run(arguments.head(), arguments.tail()));
+    }
+
     private static Either<String, Command> hashSecret(
             OptionSet options, Surroundings surroundings) {
         return surroundings
--- a/cli/src/main/java/org/sequoiaspindle/cli/transport/JsonReport.java
+++ b/cli/src/main/java/org/sequoiaspindle/cli/transport/JsonReport.java
@@ -10,6 +10,8 @@
 import io.vavr.control.Option;
 import java.util.Locale;
 import org.sequoiaspindle.cli.state.CommandResult;
+import org.sequoiaspindle.cli.state.Explanation;
+import org.sequoiaspindle.cli.state.LogLine;
 import org.sequoiaspindle.cli.state.PublishReport;
 import org.sequoiaspindle.cli.state.Report;
 import org.sequoiaspindle.cli.state.RequestReport;
@@ -50,12 +52,30 @@
         } else if (report instanceof Report.Request request) {
             request.report().forEach(end -> request(json, end));
             request.faults().forEach(json.putArray("faults")::add);
+        } else if (report instanceof Report.Explained explained) {
+            explanation(json, explained.explanation());
         } else {
             json.put("secretHash", ((Report.Hash) report).secretHash());
         }
         return json.toString();
     }
 
+    private static void explanation(ObjectNode json, Explanation explanation) {
+        json.put("requestId", explanation.requestId());
+        explanation.cause().forEach(cause -> json.put("cause", cause));
+        json.put("skippedLines", explanation.skippedLines());
+        ArrayNode lines = json.putArray("lines");
+        for (LogLine line : explanation.lines()) {
+            ObjectNode fields =
+                    lines.addObject()
+                            .put("time", line.at().toString())
+                            .put("source", line.source())
+                            .put("name", line.name())
+                            .putObject("fields");
+            line.fields().forEach((name, value) -> fields.put(name, value));
+        }
+    }
+
     private static ObjectNode object() {
         return JsonNodeFactory.instance.objectNode();
     }
--- a/cli/src/main/java/org/sequoiaspindle/cli/transport/TextReport.java
+++ b/cli/src/main/java/org/sequoiaspindle/cli/transport/TextReport.java
@@ -1,8 +1,11 @@
 package org.sequoiaspindle.cli.transport;
 
+import io.vavr.Tuple2;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import java.util.function.Function;
+import org.sequoiaspindle.cli.state.Explanation;
+import org.sequoiaspindle.cli.state.LogLine;
 import org.sequoiaspindle.cli.state.PublishReport;
 import org.sequoiaspindle.cli.state.Report;
 import org.sequoiaspindle.cli.state.RequestReport;
@@ -42,9 +45,33 @@
         if (report instanceof Report.Request request) {
             return request(request);
         }
+        if (report instanceof Report.Explained explained) {
+            return explanation(explained.explanation());
+        }
         return ((Report.Hash) report).secretHash() + "\n";
     }
 
+    private static String explanation(Explanation explanation) {
+        String lines =
+                explanation
+                        .lines()
+                        .map(line -> ObjectNames.printable(line(line)) + "\n")
+                        .mkString();
+        String cause = explanation.cause().getOrElse("no line ends this request");
+        return "%scause: %s%n%d line(s) were no log lines%n"
+                .formatted(lines, ObjectNames.printable(cause), explanation.skippedLines());
+    }
+
+    private static String line(LogLine line) {
+        String fields =
+                line.fields()
+                        .toVector()
+                        .sortBy(Tuple2::_1)
+                        .map(field -> field._1() + "=" + field._2())
+                        .mkString(" ");
+        return line.at() + " " + line.source() + " " + line.name() + " " + fields;
+    }
+
     private static String checked(Report.Checked checked) {
         return checked.problems().isEmpty()
                 ? checked.file() + ": no problems\n"
--- /dev/null
+++ b/cli/src/test/java/org/sequoiaspindle/cli/transport/ExplainTest.java
@@ -0,0 +1,123 @@
+package org.sequoiaspindle.cli.transport;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.sequoiaspindle.cli.state.ExitCode;
+
+/** Guards against failed requests whose cause stands in the logs and is not found. */
+final class ExplainTest {
+
+    private static final String LINE =
+            "{\"time\":\"2026-12-04T10:00:%s\",\"level\":\"INFO\",\"name\":\"%s\",\"fields\":{%s}}";
+
+    @TempDir Path directory;
+
+    @Test
+    void refusalForWantOfConfirmedKeysIsTracedToTheLostStore() throws IOException {
+        CliRun run =
+                explain(
+                        line("01.000Z", "STORE_UNAVAILABLE", "'reason':'Connection reset'"),
+                        ended("05.100Z", "KEYS_UNCONFIRMED", "'stagedMs':-1,'durationMs':3"));
+        assertCause(run, "lost the store at 2026-12-04T10:00:01Z: Connection reset");
+    }
+
+    @Test
+    void latenessIsTracedToTheLongestQueueOfAStage() throws IOException {
+        CliRun run =
+                explain(
+                        line(
+                                "03.000Z",
+                                "PIECES_MADE",
+                                "'service':'a','waiting':7,'outcome':'made'"),
+                        line(
+                                "04.000Z",
+                                "PIECES_MADE",
+                                "'service':'b','waiting':180,'outcome':'made'"),
+                        ended(
+                                "05.000Z",
+                                "none",
+                                "'stagedMs':2300,'firstBytesMs':2480,'durationMs':2600"));
+        assertCause(run, "stages took 2300 of 2480 ms");
+        assertCause(run, "180 pieces of service b waiting");
+    }
+
+    @Test
+    void lostAnswerIsTracedToTheAttemptThatFailed() throws IOException {
+        CliRun run =
+                explain(
+                        line(
+                                "04.000Z",
+                                "ATTEMPT_FAILED",
+                                "'requestId':'r1','endpoint':'e-1','result':'UNKNOWN',"
+                                        + "'reason':'Connection reset'"),
+                        ended("04.001Z", "ANSWER_LOST", "'stagedMs':0,'durationMs':90"));
+        assertCause(run, "endpoint e-1: UNKNOWN, Connection reset");
+    }
+
+    @Test
+    void tornAndForeignLinesAreSkippedAndCountedAndWordsBeforeALineNameItsInstance()
+            throws IOException {
+        String whole = ended("05.100Z", "STOPPING", "'durationMs':3");
+        CliRun run = explain("no log line", whole.substring(0, 60), "  0.1 entry-7 " + whole);
+        assertTrue(run.out().contains("2 line(s) were no log lines"), run.all());
+        assertTrue(run.out().contains(" entry-7 FORWARD_ENDED"), run.all());
+    }
+
+    @Test
+    void linesOfOtherTimesAreLeftOut() throws IOException {
+        CliRun run =
+                explain(
+                        line("00.000Z", "STORE_UNAVAILABLE", "'reason':'long ago'"),
+                        ended("30.000Z", "KEYS_UNCONFIRMED", "'durationMs':3"));
+        assertCause(run, "no line tells why");
+        assertTrue(!run.out().contains("long ago"), run.all());
+    }
+
+    @Test
+    void jsonHoldsTheCauseAndTheLines() throws IOException {
+        Path file = directory.resolve("entry-1.log");
+        Files.write(file, List.of(ended("05.100Z", "STOPPING", "'durationMs':3")));
+        CliRun run = CliRun.of("explain", "r1", file.toString(), "--json");
+        assertTrue(
+                run.out().contains("\"cause\":\"the instance refused it: STOPPING\""), run.all());
+    }
+
+    @Test
+    void unknownRequestAndMissingFileAreToldApart() throws IOException {
+        CliRun unknown =
+                explain(ended("05.100Z", "STOPPING", "'durationMs':3").replace("r1", "r2"));
+        assertEquals(ExitCode.USAGE, unknown.exit());
+        assertTrue(unknown.all().contains("no line of request r1"), unknown.all());
+        CliRun missing = CliRun.of("explain", "r1", directory.resolve("none.log").toString());
+        assertEquals(ExitCode.USAGE, missing.exit());
+        assertTrue(missing.all().contains("cannot be read"), missing.all());
+    }
+
+    private CliRun explain(String... lines) throws IOException {
+        Path file = directory.resolve("entry-1.log");
+        Files.write(file, List.of(lines));
+        return CliRun.of("explain", "r1", file.toString());
+    }
+
+    private static void assertCause(CliRun run, String expected) {
+        assertEquals(ExitCode.DONE, run.exit(), run.all());
+        String cause = run.out().lines().filter(l -> l.startsWith("cause:")).findFirst().orElse("");
+        assertTrue(cause.contains(expected), run.all());
+    }
+
+    private static String ended(String at, String reason, String fields) {
+        return line(
+                at, "FORWARD_ENDED", "'requestId':'r1','reason':'%s',%s".formatted(reason, fields));
+    }
+
+    private static String line(String at, String name, String fields) {
+        return LINE.formatted(at, name, fields.replace('\'', '"'));
+    }
+}
