--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceMaker.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceMaker.java
@@ -147,7 +147,7 @@
     private void advance(BatchSpec spec, List<Replica> replicas) {
         List<Candidate> candidates = candidates(spec, replicas);
         boolean free = candidates.stream().anyMatch(c -> BatchRule.isFree(spec, c));
-        // Ordering a long queue takes long; without a free replica it can only show what to drop.
+        // Without a free replica the order only shows what to drop, and a long queue is costly.
         if (!free && clock.now() - orderedAt < RETRY_MS) {
             return;
         }
@@ -244,8 +244,8 @@
                         outcome -> {
                             status.finished();
                             room.unreserve(batch.replica().id(), bytes);
-                            String told = ended(spec, batch.replica(), entries, outcome);
-                            record(batch, told, clock.now() - sentAt);
+                            String result = ended(spec, batch.replica(), entries, outcome);
+                            record(batch, result, clock.now() - sentAt);
                             advance();
                         });
     }
