Give calls of pieces at least a second

Cause: StagePathTest.piecesAreExecutedLocallyIfOtherInstancesAreUnresponsive failed once with 503 after 2.1 s: a call of 20 ms nominal time was given up after 216 ms (nine times its nominal time), three times in a cold JVM. A replica that pauses for a quarter of a second is not dead, and the call that was given up is executed again elsewhere.

Change: PieceCallTimeout decides the time limit, with a floor of one second; a call still ends at the last deadline.

Result: callOfAFewMillisecondsSurvivesAPauseOfTheReplica expects 1,000 ms, the old rule gives 216 ms (computed, not run).

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClient.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClient.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.CompletionStage;
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.coordination.forwarding.BatchSelection;
-import org.sequoiaspindle.core.coordination.forwarding.Piece;
+import org.sequoiaspindle.core.coordination.forwarding.PieceCallTimeout;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatus;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatuses;
 import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
@@ -19,9 +19,6 @@
 /** Sends the calls with which replicas execute pieces. Thread-safe. */
 final class ReplicaPieceClient {
 
-    /** Multiple of the expected time after which a call times out; replicas may share machines. */
-    private static final double CALL_TIMEOUT_FACTOR = 3;
-
     private final HttpCallClient client;
     private final ReplicaStatuses statuses;
     private final HttpDialect dialect;
@@ -63,18 +60,13 @@
     }
 
     private HttpCallClient.Call call(BatchSpec spec, BatchSelection.Batch batch, long now) {
-        long untilLastDeadline =
-                batch.pieces().stream().mapToLong(Piece::deadlineAt).max().orElse(now) - now;
-        double callTimeout =
-                spec.durationMillis(spec.maxPieces()) * (spec.queue() + 1) * CALL_TIMEOUT_FACTOR;
-        long timeoutMillis = Math.max(1, Math.min(untilLastDeadline, (long) callTimeout));
         return new HttpCallClient.Call(
                 new Destination(batch.replica().address(), batch.replica().id().toString()),
                 "POST",
                 codec.executePath(),
                 codec.headerFields(batch.replica()),
                 codec.encodeExecute(batch.pieces(), now),
-                timeoutMillis);
+                PieceCallTimeout.millis(spec, batch.pieces(), now));
     }
 
     private Outcome toOutcome(
