Read the platform's store through one instance of each data centre

Cause: every instance polled, watched and listed the store for itself.

Change: the instances of a data centre rank each other by rendezvous hashing (StoreReaderSelector) and send their reads to the first that responds (RelayedStore), which merges them (SharedStore): a read of the configuration is answered from a call that was sent after it arrived, so a key confirmation is counted from the follower's own question and needs no clock of the reader; one watch serves all watchers from a log of changes; equal listings share a call. A reader that fails is not asked for 3 to 12 s, after two failures the store is read directly, and a direct failure pauses further direct reads of a follower for 1 to 2 s. Entries of older instances carry no relay address and are never asked. A listener of its own, on the second port of the range, carries the reads.

--- a/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
+++ b/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
@@ -33,6 +33,7 @@
     STORE_RECOVERED(502, Level.INFO, "store available again"),
     WATCH_SILENT(503, Level.WARN, "watch timed out; replaced"),
     CLAIM_UNFINISHED(504, Level.WARN, "outcome of a claim could not be recorded"),
+    STORE_READER_CHANGED(505, Level.INFO, "store is read through another instance"),
     ENDPOINT_EJECTED(601, Level.WARN, "endpoint ejected"),
     ENDPOINT_RESTORED(602, Level.INFO, "endpoint restored"),
     ENDPOINT_LEAVING(603, Level.INFO, "endpoint is leaving"),
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/InstanceEntryCodec.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/InstanceEntryCodec.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vavr.control.Try;
 import java.util.Optional;
 import org.sequoiaspindle.core.protocol.store.StoreChange;
@@ -25,13 +26,18 @@
     }
 
     static StoreValue encode(InstanceEntry instance) {
+        ObjectNode entry =
+                MAPPER.createObjectNode()
+                        .put("dataCentre", instance.dataCentre())
+                        .put("host", instance.address().host())
+                        .put("port", instance.address().port());
+        instance.relayAddress()
+                .ifPresent(
+                        relay ->
+                                entry.put("relayHost", relay.host())
+                                        .put("relayPort", relay.port()));
         try {
-            return StoreValue.of(
-                    MAPPER.writeValueAsBytes(
-                            MAPPER.createObjectNode()
-                                    .put("dataCentre", instance.dataCentre())
-                                    .put("host", instance.address().host())
-                                    .put("port", instance.address().port())));
+            return StoreValue.of(MAPPER.writeValueAsBytes(entry));
         } catch (JsonProcessingException e) {
             throw new IllegalStateException("cannot serialise a JSON tree", e);
         }
@@ -57,6 +63,15 @@
                                         entry.path("dataCentre").asText(),
                                         new HostPort(
                                                 entry.path("host").asText(),
-                                                entry.path("port").asInt())));
+                                                entry.path("port").asInt()),
+                                        relayAddress(entry)));
+    }
+
+    private static Optional<HostPort> relayAddress(JsonNode entry) {
+        return entry.path("relayHost").isTextual() && entry.path("relayPort").isInt()
+                ? Optional.of(
+                        new HostPort(
+                                entry.path("relayHost").asText(), entry.path("relayPort").asInt()))
+                : Optional.empty();
     }
 }
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/Registry.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/Registry.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.UnaryOperator;
 import org.sequoiaspindle.core.common.EventLog;
@@ -48,7 +49,7 @@
             new AtomicReference<>(Map.of());
     private final AtomicReference<KeyConfirmation> keyConfirmation =
             new AtomicReference<>(KeyConfirmation.NONE);
-    private final AtomicReference<Long> configurationRevision = new AtomicReference<>(-1L);
+    private final AtomicLong configurationRevision = new AtomicLong();
     private final AtomicBoolean storeReachable = new AtomicBoolean();
     private final AtomicBoolean storeReached = new AtomicBoolean();
     private final AtomicBoolean replicasListed = new AtomicBoolean();
@@ -99,13 +100,20 @@
         return new KeyConfirmation(clock.now(), wallClock.now());
     }
 
+    /** Returns the revision of the configuration that was read last, 0 for none. */
+    long configurationRevision() {
+        return configurationRevision.get();
+    }
+
     /**
      * Applies the result of a read of the configuration key.
      *
+     * @param read empty if the store has no newer configuration than the one that was read last
      * @param confirmation times at which the read was sent
      */
     void applyConfigurationRead(Optional<StoreChange.Written> read, KeyConfirmation confirmation) {
-        if (read.isEmpty() || adoptIfNewer(read.get())) {
+        boolean current = read.map(this::adoptIfNewer).orElse(configurationRevision.get() > 0);
+        if (current) {
             keyConfirmation.accumulateAndGet(
                     confirmation, (a, b) -> a.monotonicMillis() > b.monotonicMillis() ? a : b);
         }
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcher.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcher.java
@@ -1,7 +1,6 @@
 package org.sequoiaspindle.core.protocol.forwarding;
 
 import io.vavr.collection.Vector;
-import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -29,20 +28,19 @@
     static final long RETRY_DELAY_MS = 400;
 
     /**
-     * Interval between polls, in milliseconds. Even after a poll that times out after 1 s and the
-     * time for the watch to catch up, a stalled watch is detected within the 3 s after which an
-     * instance counts as connected to the store again.
+     * Interval between polls, in milliseconds. A poll waits up to another second to be merged with
+     * those of other instances. Even after a poll that times out after 1 s and the time for the
+     * watch to catch up, a stalled watch is detected within the 3 s after which an instance counts
+     * as connected to the store again.
      */
-    static final long POLL_INTERVAL_MS = 1_200;
-
-    /** Interval between polls while no configuration is known, in milliseconds. */
-    static final long INITIAL_POLL_INTERVAL_MS = 100;
+    static final long POLL_INTERVAL_MS = 500;
 
     /**
-     * Time for a watch to deliver a revision that a poll has returned, in milliseconds; normally a
-     * few milliseconds suffice.
+     * Time for a watch to deliver a revision that a poll has returned, in milliseconds. Normally a
+     * few milliseconds suffice, after the quarter of a second in which a shared watch collects
+     * changes.
      */
-    static final long WATCH_CATCH_UP_MS = 300;
+    static final long WATCH_CATCH_UP_MS = 600;
 
     private final Store store;
     private final RegistryLayout layout;
@@ -80,37 +78,24 @@
         }
         KeyConfirmation confirmation = registry.newConfirmation();
         Invariants.reportFailure(
-                store.execute(new StoreCommand.ListItems(layout.configurationKey(), ""))
+                store.execute(
+                                new StoreCommand.ReadNewer(
+                                        layout.configurationKey(),
+                                        registry.configurationRevision()))
                         .thenAccept(result -> pollCompleted(result, confirmation)));
     }
 
     private void pollCompleted(StoreResult result, KeyConfirmation confirmation) {
         if (result instanceof StoreResult.Listed listed) {
             recordStoreReachable();
-            findConfiguration(listed)
-                    .ifPresent(
-                            read ->
-                                    registry.applyConfigurationRead(
-                                            Optional.of(read), confirmation));
+            registry.applyConfigurationRead(
+                    listed.items().headOption().toJavaOptional(), confirmation);
             timer.schedule(WATCH_CATCH_UP_MS, () -> relistIfWatchIsBehind(listed.revision()));
         } else {
             registry.recordStoreReachability(false, String.valueOf(result));
         }
-        timer.schedule(pollDelay(result), this::poll);
-    }
-
-    private long pollDelay(StoreResult result) {
-        if (registry.configuration().isUnconfigured()) {
-            return INITIAL_POLL_INTERVAL_MS;
-        }
-        return result instanceof StoreResult.Listed ? POLL_INTERVAL_MS : RETRY_DELAY_MS;
-    }
-
-    /** Finds the configuration in a listing, whose prefix may match other keys as well. */
-    private Optional<StoreChange.Written> findConfiguration(StoreResult.Listed listed) {
-        return listed.items()
-                .find(item -> item.key().equals(layout.configurationKey()))
-                .toJavaOptional();
+        boolean succeeded = result instanceof StoreResult.Listed;
+        timer.schedule(succeeded ? POLL_INTERVAL_MS : RETRY_DELAY_MS, this::poll);
     }
 
     private void relistIfWatchIsBehind(long revision) {
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/store/StoreCommand.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/store/StoreCommand.java
@@ -53,6 +53,14 @@
      */
     record ListItems(String prefix, String after) implements StoreCommand {}
 
+    /**
+     * Reads the value of a key if it was written after a revision. The result is a {@link
+     * StoreResult.Listed} that contains the item, or no item if there is no newer one.
+     *
+     * @param knownRevision revision of the value that the caller has, 0 for none
+     */
+    record ReadNewer(String key, long knownRevision) implements StoreCommand {}
+
     /**
      * Waits for changes of the keys that begin with a prefix.
      *
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcherTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcherTest.java
@@ -210,6 +210,15 @@
                 watches.add(new Watch(watch.afterRevision(), result));
                 return result;
             }
+            if (command instanceof StoreCommand.ReadNewer read) {
+                return CompletableFuture.completedFuture(
+                        new StoreResult.Listed(
+                                Vector.ofAll(items.values())
+                                        .filter(item -> item.key().equals(read.key()))
+                                        .filter(item -> item.revision() > read.knownRevision()),
+                                false,
+                                revision));
+            }
             return CompletableFuture.completedFuture(new StoreResult.Missing());
         }
     }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/settings/ForwardingSettingsReader.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/settings/ForwardingSettingsReader.java
@@ -21,6 +21,7 @@
     private static final double MAX_DURATION_SECONDS = 3_600;
     private static final double MAX_RETRY_SLACK = 1e9;
     private static final int MAX_PORT = 65_535;
+    private static final int MAX_PORT_OFFSET = 1_000;
     private static final Pattern NAME_PATTERN = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
     private static final String NAME_EXPECTED =
             "write 1 to 64 letters, digits, dots, hyphens or underscores";
@@ -50,6 +51,7 @@
                         address(root, "readiness"),
                         listener(root.object("metrics")),
                         listener(root.object("peerLink")),
+                        listener(root.object("relay")),
                         address(root, "store"),
                         (int) root.number("workers", 1, MAX_EVENT_LOOPS, Option.none()),
                         drainTimeoutMillis(root),
@@ -91,12 +93,13 @@
         return limits;
     }
 
+    /** Reads an address whose port may be given as an offset from the start of a port range. */
     private static HostPort listener(SettingsFields fields) {
-        HostPort address =
-                new HostPort(
-                        fields.requiredString(
-                                "host", host -> !host.isBlank(), "write an IP address"),
-                        (int) fields.number("port", 1, MAX_PORT, Option.none()));
+        String host =
+                fields.requiredString("host", value -> !value.isBlank(), "write an IP address");
+        long offset = fields.number("portOffset", 0, MAX_PORT_OFFSET, Option.some(0L));
+        long port = fields.number("port", 1, MAX_PORT - offset, Option.none());
+        HostPort address = new HostPort(host, (int) (port + offset));
         fields.rejectUnknownFields();
         return address;
     }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/state/ForwardingSettings.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/state/ForwardingSettings.java
@@ -11,7 +11,8 @@
  * @param callers listener for clients
  * @param readiness listener for the platform's readiness check
  * @param metrics listener for reading metrics
- * @param peerLink listener for other instances
+ * @param peerLink listener for pieces from other instances
+ * @param relay listener for instances that read the store through this one
  * @param store address of the platform's key-value store
  * @param eventLoops number of event loops that serve requests
  * @param drainTimeoutMillis time that draining may take after the signal to stop
@@ -28,6 +29,7 @@
         HostPort readiness,
         HostPort metrics,
         HostPort peerLink,
+        HostPort relay,
         HostPort store,
         int eventLoops,
         long drainTimeoutMillis,
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -10,6 +10,7 @@
 import io.vavr.collection.HashMap;
 import java.net.InetSocketAddress;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
@@ -31,12 +32,16 @@
 import org.sequoiaspindle.core.protocol.forwarding.RegistryLayout;
 import org.sequoiaspindle.core.protocol.forwarding.RegistryWatcher;
 import org.sequoiaspindle.core.protocol.forwarding.StageCodec;
+import org.sequoiaspindle.core.protocol.relay.RelayedStore;
+import org.sequoiaspindle.core.protocol.relay.SharedStore;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
 import org.sequoiaspindle.core.state.forwarding.InstanceEntry;
 import org.sequoiaspindle.daemon.state.ForwardingSettings;
 import org.sequoiaspindle.daemon.transport.http.ConnectionPool;
 import org.sequoiaspindle.daemon.transport.http.HttpCallClient;
+import org.sequoiaspindle.daemon.transport.relay.RelayLinks;
+import org.sequoiaspindle.daemon.transport.relay.RelayListener;
 import org.sequoiaspindle.daemon.transport.telemetry.ForwardingMetrics;
 
 /** An instance that forwards requests. Creates the components and manages their life cycle. */
@@ -89,6 +94,7 @@
     private final Registry registry;
     private final ForwardingContext context;
     private final PieceListener pieceListener;
+    private final RelayListener relayListener;
     private final RegistryWatcher watcher;
     private final Store store;
     private final Timer timer;
@@ -110,7 +116,13 @@
         registry = new Registry(adapter.layout(), clock, MillisClock.wall(), events);
         store = metrics.countStoreCalls(adapter.storeFactory().apply(control.httpClient()));
         timer = newTimer(control.loop());
-        watcher = closer.register(new RegistryWatcher(store, adapter.layout(), registry, timer));
+        SharedStore sharedStore =
+                new SharedStore(store, adapter.layout().configurationKey(), clock, timer);
+        relayListener = new RelayListener(sharedStore, control.loop());
+        watcher =
+                closer.register(
+                        new RegistryWatcher(
+                                newRelayedStore(sharedStore), adapter.layout(), registry, timer));
         ReplicaStatuses statuses = new ReplicaStatuses(settings.dataCentre());
         LocalPieceExecutor localExecutor =
                 new LocalPieceExecutor(service -> newBatchingExecutor(service, statuses, adapter));
@@ -194,25 +206,13 @@
     }
 
     private void open() {
-        watcher.start();
-        HostPort address =
-                listen(ListenerSockets.bindPeers(loops, settings.peerLink(), pieceListener));
-        InstanceEntry self = new InstanceEntry(settings.instance(), settings.dataCentre(), address);
+        control.loop().execute(watcher::start);
+        InstanceEntry self = listenForInstances();
         registration =
                 closer.register(
                         new InstanceRegistration(store, self, settings.leaseMillis(), timer));
         registration.register();
-        readinessAddress =
-                listen(
-                        statusListener(
-                                settings.readiness(),
-                                context.dialect().readinessPath(),
-                                () -> new StatusHandler.Page(isReady() ? OK : UNAVAILABLE, "")));
-        listen(
-                statusListener(
-                        settings.metrics(),
-                        METRICS_PATH,
-                        () -> new StatusHandler.Page(OK, metrics.prometheusText())));
+        listenForStatusRequests();
         clientAddress =
                 listen(
                         ListenerSockets.bindClients(
@@ -236,7 +236,33 @@
                         "http",
                         clientAddress.toString(),
                         "peer",
-                        address.toString()));
+                        self.address().toString()));
+    }
+
+    /** Opens the listeners for other instances and returns the entry that contains them. */
+    private InstanceEntry listenForInstances() {
+        HostPort pieces =
+                listen(
+                        ListenerSockets.bindPeers(
+                                loops, settings.peerLink(), pieceListener::install));
+        HostPort relay =
+                listen(ListenerSockets.bindPeers(loops, settings.relay(), relayListener::install));
+        return new InstanceEntry(
+                settings.instance(), settings.dataCentre(), pieces, Optional.of(relay));
+    }
+
+    private void listenForStatusRequests() {
+        readinessAddress =
+                listen(
+                        statusListener(
+                                settings.readiness(),
+                                context.dialect().readinessPath(),
+                                () -> new StatusHandler.Page(isReady() ? OK : UNAVAILABLE, "")));
+        listen(
+                statusListener(
+                        settings.metrics(),
+                        METRICS_PATH,
+                        () -> new StatusHandler.Page(OK, metrics.prometheusText())));
     }
 
     private void runChecks() {
@@ -261,6 +287,17 @@
         return new HostPort(bound.getAddress().getHostAddress(), bound.getPort());
     }
 
+    /** Returns a store that is confined to the control loop, like the shared store. */
+    private RelayedStore newRelayedStore(SharedStore sharedStore) {
+        return new RelayedStore(
+                settings.instance(),
+                () -> registry.instances().values(),
+                metrics.countRelayedReads(new RelayLinks(control.loop())),
+                sharedStore,
+                clock,
+                events);
+    }
+
     private EventLoopWorker newWorker(EventLoop loop) {
         ConnectionPool pool = new ConnectionPool(loop, NioSocketChannel.class, clock);
         return new EventLoopWorker(loop, pool, new HttpCallClient(loop, pool));
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ListenerSockets.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ListenerSockets.java
@@ -66,9 +66,14 @@
                                 .addLast(handlerFactory.get()));
     }
 
-    /** Listens for other instances. */
-    static Channel bindPeers(EventLoopGroup loops, HostPort address, PieceListener listener) {
-        return bind(loops, address, listener::install);
+    /**
+     * Listens for other instances.
+     *
+     * @param initializer installs the handler of a new connection
+     */
+    static Channel bindPeers(
+            EventLoopGroup loops, HostPort address, Consumer<Channel> initializer) {
+        return bind(loops, address, initializer::accept);
     }
 
     private static Channel bind(
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PieceLink.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PieceLink.java
@@ -21,6 +21,7 @@
 import org.sequoiaspindle.core.protocol.forwarding.PieceMessage;
 import org.sequoiaspindle.core.protocol.forwarding.PieceResult;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
+import org.sequoiaspindle.daemon.transport.frame.FrameHandler;
 
 /**
  * Requests pieces from one other instance. If the peer is unreachable or unresponsive, pending
@@ -117,12 +118,12 @@
         if (channel == null) {
             return false;
         }
-        PieceFrameHandler.send(channel, new PieceMessage.Release(handles));
+        PieceFrames.send(channel, new PieceMessage.Release(handles));
         return true;
     }
 
     private void send(long number, PendingRequest pending) {
-        PieceFrameHandler.send(
+        PieceFrames.send(
                 channel,
                 new PieceMessage.Request(number, pending.piece().withTimesShifted(-clock.now())));
         if (!pingScheduled) {
@@ -144,8 +145,9 @@
                                 new ChannelInitializer<Channel>() {
                                     @Override
                                     protected void initChannel(Channel newChannel) {
-                                        PieceFrameHandler.install(
+                                        FrameHandler.install(
                                                 newChannel,
+                                                PieceFrames.FORMAT,
                                                 (from, message) -> received(message),
                                                 PieceLink.this::closed);
                                     }
@@ -191,7 +193,7 @@
             return;
         }
         cancelUnneeded();
-        PieceFrameHandler.send(channel, new PieceMessage.Ping());
+        PieceFrames.send(channel, new PieceMessage.Ping());
         pingScheduled = true;
         loop.schedule(this::ping, PING_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
@@ -204,7 +206,7 @@
                         .toList();
         for (long number : unneededNumbers) {
             PendingRequest pending = pendingRequests.remove(number);
-            PieceFrameHandler.send(channel, new PieceMessage.Cancel(number));
+            PieceFrames.send(channel, new PieceMessage.Cancel(number));
             pending.result().complete(new PieceResult.NotCompleted(PieceResult.Reason.LATE));
         }
     }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PieceListener.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PieceListener.java
@@ -9,6 +9,7 @@
 import org.sequoiaspindle.core.protocol.forwarding.PieceExecutor;
 import org.sequoiaspindle.core.protocol.forwarding.PieceMessage;
 import org.sequoiaspindle.core.protocol.forwarding.PieceResult;
+import org.sequoiaspindle.daemon.transport.frame.FrameHandler;
 
 /** Executes the pieces requested by other instances. Thread-safe. */
 final class PieceListener {
@@ -29,8 +30,9 @@
     void install(Channel channel) {
         Set<Long> pendingNumbers = ConcurrentHashMap.newKeySet();
         pendingNumbersByConnection.put(channel, pendingNumbers);
-        PieceFrameHandler.install(
+        FrameHandler.install(
                 channel,
+                PieceFrames.FORMAT,
                 (from, message) -> handleMessage(from, pendingNumbers, message),
                 closed -> {
                     pendingNumbersByConnection.remove(closed);
@@ -40,7 +42,7 @@
 
     private void handleMessage(Channel channel, Set<Long> pendingNumbers, PieceMessage message) {
         if (message instanceof PieceMessage.Ping) {
-            PieceFrameHandler.send(channel, new PieceMessage.Pong());
+            PieceFrames.send(channel, new PieceMessage.Pong());
         } else if (message instanceof PieceMessage.Cancel cancel) {
             pendingNumbers.remove(cancel.number());
         } else if (message instanceof PieceMessage.Release release) {
@@ -59,7 +61,7 @@
     private void finishRequest(
             Channel channel, Set<Long> pendingNumbers, long number, PieceResult result) {
         if (pendingNumbers.remove(number)) {
-            PieceFrameHandler.send(channel, new PieceMessage.Reply(number, result));
+            PieceFrames.send(channel, new PieceMessage.Reply(number, result));
         } else if (result instanceof PieceResult.Completed completed) {
             releaser.release(List.of(completed.handle()));
         }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PieceFrameHandler.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/frame/FrameHandler.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.frame;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -9,46 +9,46 @@
 import io.vavr.control.Either;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import org.sequoiaspindle.core.protocol.forwarding.PieceMessage;
-import org.sequoiaspindle.core.protocol.forwarding.PieceMessageCodec;
 
 /**
  * Handles frames on a connection between instances. A frame consists of a 4-byte length and a
  * message. A malformed frame closes the connection.
  */
-final class PieceFrameHandler extends SimpleChannelInboundHandler<ByteBuf> {
+public final class FrameHandler<M> extends SimpleChannelInboundHandler<ByteBuf> {
 
     private static final int LENGTH_BYTES = 4;
 
-    /** Sufficient for a piece with a few thousand inputs. */
-    private static final int MAX_FRAME_BYTES = 256 * 1024;
-
     /** Maximum frames written in one system call; a request has about ten pieces in each stage. */
     private static final int MAX_FLUSHES_PER_WRITE = 64;
 
-    private final BiConsumer<Channel, PieceMessage> onMessage;
+    private final FrameFormat<M> format;
+    private final BiConsumer<Channel, M> onMessage;
     private final Consumer<Channel> onClosed;
 
-    private PieceFrameHandler(
-            BiConsumer<Channel, PieceMessage> onMessage, Consumer<Channel> onClosed) {
+    private FrameHandler(
+            FrameFormat<M> format, BiConsumer<Channel, M> onMessage, Consumer<Channel> onClosed) {
+        this.format = format;
         this.onMessage = onMessage;
         this.onClosed = onClosed;
     }
 
-    static void install(
+    /** Installs a handler on a new connection. */
+    public static <M> void install(
             Channel channel,
-            BiConsumer<Channel, PieceMessage> onMessage,
+            FrameFormat<M> format,
+            BiConsumer<Channel, M> onMessage,
             Consumer<Channel> onClosed) {
         channel.pipeline()
                 .addLast(new FlushConsolidationHandler(MAX_FLUSHES_PER_WRITE, true))
                 .addLast(
                         new LengthFieldBasedFrameDecoder(
-                                MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES))
-                .addLast(new PieceFrameHandler(onMessage, onClosed));
+                                format.maxFrameBytes(), 0, LENGTH_BYTES, 0, LENGTH_BYTES))
+                .addLast(new FrameHandler<>(format, onMessage, onClosed));
     }
 
-    static void send(Channel channel, PieceMessage message) {
-        byte[] content = PieceMessageCodec.encode(message);
+    /** Sends a message; a failure closes the connection. */
+    public static <M> void send(Channel channel, FrameFormat<M> format, M message) {
+        byte[] content = format.encoder().apply(message);
         ByteBuf frame = channel.alloc().buffer(LENGTH_BYTES + content.length);
         frame.writeInt(content.length).writeBytes(content);
         channel.writeAndFlush(frame, channel.voidPromise());
@@ -58,7 +58,7 @@
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
         byte[] content = new byte[frame.readableBytes()];
         frame.readBytes(content);
-        Either<String, PieceMessage> message = PieceMessageCodec.decode(content);
+        Either<String, M> message = format.decoder().apply(content);
         if (message.isLeft()) {
             ctx.close();
             return;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
@@ -8,7 +8,10 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import org.sequoiaspindle.core.protocol.relay.RelayedStore;
 import org.sequoiaspindle.core.protocol.store.Store;
+import org.sequoiaspindle.core.protocol.store.StoreCommand;
+import org.sequoiaspindle.core.protocol.store.StoreResult;
 
 /**
  * Prometheus metrics of a forwarding instance. Label values come only from the configuration and
@@ -47,6 +50,12 @@
             counter(
                     "store_calls", "Store calls by command and result",
                     "command", "result");
+    private final Counter relayedReads =
+            counter(
+                    "store_relayed_reads",
+                    "Reads of the store through another instance, by command and result",
+                    "command",
+                    "result");
     private final Gauge inFlightRequests =
             Gauge.builder()
                     .name("sequoiaspindle_forwarded_requests_in_flight")
@@ -84,16 +93,20 @@
      */
     public Store countStoreCalls(Store next) {
         return command ->
-                next.execute(command)
-                        .thenApply(
-                                result -> {
-                                    storeCalls
-                                            .labelValues(
-                                                    command.getClass().getSimpleName(),
-                                                    result.getClass().getSimpleName())
-                                            .inc();
-                                    return result;
-                                });
+                next.execute(command).thenApply(result -> count(storeCalls, command, result));
+    }
+
+    /** Returns a client that counts the reads through other instances, like the store calls. */
+    public RelayedStore.ReaderClient countRelayedReads(RelayedStore.ReaderClient next) {
+        return (reader, command) ->
+                next.execute(reader, command)
+                        .thenApply(result -> count(relayedReads, command, result));
+    }
+
+    private static StoreResult count(Counter counter, StoreCommand command, StoreResult result) {
+        counter.labelValues(command.getClass().getSimpleName(), result.getClass().getSimpleName())
+                .inc();
+        return result;
     }
 
     /** Returns all metrics in the Prometheus text format. */
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContextTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContextTest.java
@@ -96,6 +96,7 @@
                 ANY_ADDRESS,
                 ANY_ADDRESS,
                 ANY_ADDRESS,
+                ANY_ADDRESS,
                 1,
                 8_000,
                 MAX_REVOKED_KEY_MS,
--- a/standins/src/main/java/org/sequoiaspindle/standins/protocol/RegistryFrontEnd.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/protocol/RegistryFrontEnd.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.sequoiaspindle.standins.coordination.RegistryStore;
 import org.sequoiaspindle.standins.state.ImmutableBytes;
 import org.sequoiaspindle.standins.state.RegistryChange;
@@ -21,6 +22,7 @@
 
     private final RegistryStore store;
     private final AtomicBoolean down = new AtomicBoolean();
+    private final AtomicInteger reads = new AtomicInteger();
 
     public RegistryFrontEnd(RegistryStore store) {
         this.store = store;
@@ -31,6 +33,11 @@
         down.set(value);
     }
 
+    /** Returns the number of reads, listings and watches so far. */
+    public int readCount() {
+        return reads.get();
+    }
+
     public HttpHandler handler() {
         HttpHandler routes =
                 new Router(
@@ -42,6 +49,9 @@
                                 exact("POST", "/api/kv-lease", this::createLease),
                                 underPath("POST", "/api/kv-keep/", this::renewLease)));
         return (request, responder) -> {
+            if (request.method().equals("GET")) {
+                reads.incrementAndGet();
+            }
             if (down.get()) {
                 responder.disconnect();
             } else {
--- a/standins/src/main/java/org/sequoiaspindle/standins/transport/RegistryServer.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/RegistryServer.java
@@ -44,6 +44,11 @@
         return store.range(prefix, "").size();
     }
 
+    /** Returns the number of reads, listings and watches so far. */
+    public int readCount() {
+        return frontEnd.readCount();
+    }
+
     /** Discards the history of changes; watches from an older revision are rejected afterwards. */
     public void compact() {
         store.compact();
