Allocate the capacity for pieces by priority

Cause: in a queue of pieces the due time alone decided who can be on time.

Change: capacity is allocated in the order of priority and then due time; late pieces go by priority and then deadline.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/PieceSchedule.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/PieceSchedule.java
@@ -69,6 +69,16 @@
         }
     }
 
+    /** Order in which capacity is allocated. Ties are broken in the same way on every call. */
+    private static final Comparator<List<Piece>> BY_PRIORITY_AND_DUE_TIME =
+            Comparator.comparingInt((List<Piece> pieces) -> pieces.get(0).priority())
+                    .thenComparingLong(PieceSchedule::dueAt)
+                    .thenComparing(pieces -> pieces.get(0).requestId());
+
+    private static final Comparator<PieceGroup> BY_PRIORITY_AND_DEADLINE =
+            Comparator.comparingInt((PieceGroup group) -> group.first().priority())
+                    .thenComparingLong(group -> group.first().deadlineAt());
+
     private final List<PieceGroup> groups;
     private final Capacity capacity;
 
@@ -83,16 +93,14 @@
         Planner planner = new Planner(spec, capacity, now);
         List<PieceGroup> plannedGroups =
                 groupByRequestAndStage(pending).stream()
-                        .sorted(
-                                Comparator.comparingLong((List<Piece> pieces) -> dueAt(pieces))
-                                        .thenComparing(pieces -> pieces.get(0).requestId()))
+                        .sorted(BY_PRIORITY_AND_DUE_TIME)
                         .map(planner::plan)
                         .toList();
         Stream<PieceGroup> onTimeGroups = plannedGroups.stream().filter(PieceGroup::onTime);
         Stream<PieceGroup> lateGroups =
                 plannedGroups.stream()
                         .filter(group -> !group.onTime())
-                        .sorted(Comparator.comparingLong(group -> group.first().deadlineAt()));
+                        .sorted(BY_PRIORITY_AND_DEADLINE);
         return new PieceSchedule(Stream.concat(onTimeGroups, lateGroups).toList(), capacity);
     }
 
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/PieceScheduleTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/PieceScheduleTest.java
@@ -74,6 +74,21 @@
         assertTrue(order.indexOf("later") < 10, order.toString());
     }
 
+    /** Guards against urgent requests that are late while less urgent ones are on time. */
+    @Test
+    void underOverloadRequestsWithAHigherPriorityAreOnTime() {
+        List<Piece> pieces = new ArrayList<>();
+        for (int request = 0; request < 20; request++) {
+            pieces.addAll(request("common" + request, 4, SMALL_RESULT_BYTES, "", NOW + 1_000, 2));
+            pieces.addAll(request("urgent" + request, 2, SMALL_RESULT_BYTES, "", NOW + 1_000, 0));
+        }
+        PieceSchedule schedule = schedule(pieces, BUSY);
+        assertEquals(
+                40,
+                schedule.onTimePieces().stream().filter(piece -> piece.priority() == 0).count());
+        assertTrue(schedule.latePieces().stream().allMatch(piece -> piece.priority() == 2));
+    }
+
     @Test
     void piecesAreComputedInTheDataCentreThatUsesTheResults() {
         List<Piece> pieces = request("r", 2, LARGE_RESULT_BYTES, "a", NOW + 2_000);
@@ -150,6 +165,11 @@
 
     private static List<Piece> request(
             String id, int count, long bytes, String dataCentre, long dueAt) {
+        return request(id, count, bytes, dataCentre, dueAt, 1);
+    }
+
+    private static List<Piece> request(
+            String id, int count, long bytes, String dataCentre, long dueAt, int priority) {
         List<Piece> pieces = new ArrayList<>();
         for (int n = 0; n < count; n++) {
             pieces.add(
@@ -164,7 +184,7 @@
                             dataCentre,
                             dueAt + 4_000,
                             dueAt,
-                            1));
+                            priority));
         }
         return pieces;
     }
