Find the readers of the store before the first listing

A caller that knows no configuration is answered from a read at once, so a restart does not wait for the next merged read. RegistrySync gathers what belongs to the store.

--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcher.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcher.java
@@ -27,6 +27,12 @@
     /** Delay after a failed call, in milliseconds. */
     static final long RETRY_DELAY_MS = 400;
 
+    /**
+     * Time over which the first reads of instances that start together are spread, in milliseconds.
+     * The first instance registers within a few milliseconds, and the others read through it.
+     */
+    static final long START_SPREAD_MS = 500;
+
     /**
      * Interval between polls, in milliseconds. A poll waits up to another second to be merged with
      * those of other instances. Even after a poll that times out after 1 s and the time for the
@@ -61,8 +67,49 @@
         this.timer = timer;
     }
 
-    /** Starts polling and watching; returns immediately. */
-    public void start() {
+    /**
+     * Starts polling and watching; returns immediately. The instances are looked up first, because
+     * the store is read through them. If there are none, all instances probably start at the same
+     * time, so the look-up is repeated after a delay that differs between instances.
+     *
+     * @param spread fraction of the longest delay, from 0 to 1
+     */
+    public void start(double spread) {
+        findInstances(
+                Vector.empty(),
+                () -> {
+                    if (registry.instances().isEmpty()) {
+                        timer.schedule(
+                                (long) (START_SPREAD_MS * spread),
+                                () -> findInstances(Vector.empty(), this::begin));
+                    } else {
+                        begin();
+                    }
+                });
+    }
+
+    private void findInstances(Vector<StoreChange.Written> previousItems, Runnable onEnd) {
+        String after = previousItems.lastOption().map(StoreChange.Written::key).getOrElse("");
+        Invariants.reportFailure(
+                store.execute(new StoreCommand.ListItems(InstanceEntryCodec.PREFIX, after, true))
+                        .thenAccept(
+                                result -> {
+                                    if (!(result instanceof StoreResult.Listed page)) {
+                                        onEnd.run();
+                                        return;
+                                    }
+                                    Vector<StoreChange.Written> items =
+                                            previousItems.appendAll(page.items());
+                                    if (page.more() && !page.items().isEmpty()) {
+                                        findInstances(items, onEnd);
+                                    } else {
+                                        registry.replaceInstances(items.asJava());
+                                        onEnd.run();
+                                    }
+                                }));
+    }
+
+    private void begin() {
         poll();
         listAll();
     }
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/relay/SharedRead.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/relay/SharedRead.java
@@ -63,17 +63,27 @@
         return caller.result();
     }
 
+    /** Reads at the end of the interval, or at once for a caller that has just started. */
     private void readSoon() {
-        if (readScheduled || reading || callers.isEmpty()) {
-            return;
+        boolean urgent =
+                failing || callers.stream().anyMatch(caller -> caller.knownRevision() == 0);
+        if (urgent) {
+            readNow();
+        } else if (!readScheduled) {
+            readScheduled = true;
+            timer.schedule(
+                    sentAt + READ_INTERVAL_MS - clock.now(),
+                    () -> {
+                        readScheduled = false;
+                        readNow();
+                    });
         }
-        readScheduled = true;
-        long interval = failing ? 0 : READ_INTERVAL_MS;
-        timer.schedule(sentAt + interval - clock.now(), this::readNow);
     }
 
     private void readNow() {
-        readScheduled = false;
+        if (reading || callers.isEmpty()) {
+            return;
+        }
         reading = true;
         sentAt = clock.now();
         List<Caller> served = callers;
@@ -89,7 +99,9 @@
         failing = !(result instanceof StoreResult.Listed);
         failedAt = clock.now();
         served.forEach(caller -> caller.result().complete(resultFor(caller, result)));
-        readSoon();
+        if (!callers.isEmpty()) {
+            readSoon();
+        }
     }
 
     private static StoreResult resultFor(Caller caller, StoreResult result) {
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/relay/SharedStore.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/relay/SharedStore.java
@@ -37,7 +37,7 @@
     /** Returns whether other instances may execute a command here, and its result may be shared. */
     public static boolean isShareable(StoreCommand command) {
         return command instanceof StoreCommand.ReadNewer
-                || command instanceof StoreCommand.ListItems
+                || command instanceof StoreCommand.ListItems list && !list.mayBeStale()
                 || command instanceof StoreCommand.AwaitChanges awaited
                         && awaited.prefix().isEmpty();
     }
@@ -50,7 +50,7 @@
         if (command instanceof StoreCommand.AwaitChanges awaited && isShareable(command)) {
             return watch.await(awaited.afterRevision(), awaited.waitMillis());
         }
-        return command instanceof StoreCommand.ListItems list
+        return command instanceof StoreCommand.ListItems list && isShareable(command)
                 ? listing.list(list)
                 : store.execute(command);
     }
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/store/StoreCommand.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/store/StoreCommand.java
@@ -50,8 +50,15 @@
      * Reads one page of the items whose keys begin with a prefix, ordered by key.
      *
      * @param after last key of the previous page, empty for the first page
+     * @param mayBeStale whether the page may be seconds old, which makes the call cheaper
      */
-    record ListItems(String prefix, String after) implements StoreCommand {}
+    record ListItems(String prefix, String after, boolean mayBeStale) implements StoreCommand {
+
+        /** Creates a listing of the current items. */
+        public ListItems(String prefix, String after) {
+            this(prefix, after, false);
+        }
+    }
 
     /**
      * Reads the value of a key if it was written after a revision. The result is a {@link
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcherTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcherTest.java
@@ -44,7 +44,7 @@
     @Test
     void changeThatTheWatchDoesNotDeliverIsDetectedByThePoll() {
         store.write("replicas/one", "one");
-        watcher.start();
+        watcher.start(0);
         time.advance(100);
         assertEquals(1, registry.replicas().all().size());
         store.remove("replicas/one");
@@ -57,7 +57,7 @@
     void registryIsNotInitialisedUntilTheReplicasAreListed() {
         store.write("op/config", "any");
         store.listsReplicas = false;
-        watcher.start();
+        watcher.start(0);
         time.advance(100);
         assertEquals(7, registry.configuration().version());
         assertFalse(registry.isInitialised());
@@ -69,7 +69,7 @@
     @Test
     void replicasAreNotListedAgainWhileTheWatchDeliversChanges() {
         store.write("replicas/one", "one");
-        watcher.start();
+        watcher.start(0);
         time.advance(100);
         int listings = store.replicaListings;
         for (int change = 0; change < 20; change++) {
@@ -88,7 +88,7 @@
     @Test
     void replicaThatLeavesAfterTheStartOfAnInstanceIsDroppedAtOnce() {
         store.write("replicas/one", "one");
-        watcher.start();
+        watcher.start(0);
         time.advance(100);
         store.remove("replicas/one");
         store.completeWatches();
@@ -119,7 +119,7 @@
     private void startWithReplica() {
         store.write("op/config", "any");
         store.write("replicas/one", "one");
-        watcher.start();
+        watcher.start(0);
         time.advance(100);
     }
 
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/SimulatedFleet.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/SimulatedFleet.java
@@ -128,7 +128,7 @@
                             monotonic,
                             (event, fields) -> {});
             watcher = new RegistryWatcher(relayed, layout(), registry, timer);
-            watcher.start();
+            watcher.start(random.nextDouble());
             store.write(
                     InstanceEntryCodec.PREFIX + name, InstanceEntryCodec.encode(entry()).text());
         }
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/relay/SharedStoreTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/relay/SharedStoreTest.java
@@ -44,6 +44,17 @@
         assertEquals("2", value(second));
     }
 
+    /** Guards against a restart that takes longer because its first read waits for others. */
+    @Test
+    void instanceThatHasJustStartedIsAnsweredAtOnce() {
+        platform.write(KEY, "1");
+        execute(READ);
+        time.advance(100);
+        CompletableFuture<StoreResult> started = execute(READ);
+        time.advance(100);
+        assertEquals("1", value(started));
+    }
+
     @Test
     void readsOfManyInstancesCostOneCallASecond() {
         platform.write(KEY, "1");
@@ -55,7 +66,8 @@
     }
 
     private void readRepeatedly(int follower) {
-        execute(READ).thenRun(() -> time.schedule(400 + follower, () -> readRepeatedly(follower)));
+        execute(new StoreCommand.ReadNewer(KEY, platform.revision()))
+                .thenRun(() -> time.schedule(400 + follower, () -> readRepeatedly(follower)));
     }
 
     @Test
@@ -64,9 +76,9 @@
         CompletableFuture<StoreResult> ignorant = execute(READ);
         CompletableFuture<StoreResult> informed =
                 execute(new StoreCommand.ReadNewer(KEY, platform.revision()));
-        time.advance(100);
+        time.advance(2 * SharedRead.READ_INTERVAL_MS);
         assertEquals("1", value(ignorant));
-        assertTrue(((StoreResult.Listed) informed.join()).items().isEmpty());
+        assertTrue(((StoreResult.Listed) completed(informed)).items().isEmpty());
     }
 
     @Test
@@ -79,7 +91,7 @@
         platform.write("servers/a", "x");
         time.advance(100);
         for (CompletableFuture<StoreResult> result : watches) {
-            assertEquals(1, ((StoreResult.Changed) result.join()).changes().size());
+            assertEquals(1, ((StoreResult.Changed) completed(result)).changes().size());
         }
         assertEquals(1, platform.calls("reader"));
     }
@@ -108,7 +120,7 @@
         execute(watch(platform.revision()));
         CompletableFuture<StoreResult> behind = execute(watch(before));
         time.advance(100);
-        assertEquals(2, ((StoreResult.Changed) behind.join()).changes().size());
+        assertEquals(2, ((StoreResult.Changed) completed(behind)).changes().size());
     }
 
     @Test
@@ -123,7 +135,7 @@
         time.advance(SharedWatch.STALL_MS);
         platform.write("servers/b", "x");
         time.advance(SharedWatch.STALL_MS);
-        assertEquals(1, ((StoreResult.Changed) later.join()).changes().size());
+        assertEquals(1, ((StoreResult.Changed) completed(later)).changes().size());
     }
 
     @Test
@@ -143,7 +155,7 @@
         execute(READ);
         time.advance(SimulatedStore.TIMEOUT_MS + 1);
         CompletableFuture<StoreResult> result = store.executeForPeer(READ).toCompletableFuture();
-        assertInstanceOf(StoreResult.Unavailable.class, result.join());
+        assertInstanceOf(StoreResult.Unavailable.class, completed(result));
         platform.setReachable("reader", true);
         execute(READ);
         time.advance(100);
@@ -167,6 +179,11 @@
     }
 
     private static String value(CompletableFuture<StoreResult> result) {
-        return ((StoreResult.Listed) result.join()).items().head().value().text();
+        return ((StoreResult.Listed) completed(result)).items().head().value().text();
+    }
+
+    private static StoreResult completed(CompletableFuture<StoreResult> result) {
+        assertTrue(result.isDone(), "no result yet");
+        return result.join();
     }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -27,21 +27,15 @@
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatuses;
 import org.sequoiaspindle.core.coordination.forwarding.ServiceRetryBudgets;
 import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
-import org.sequoiaspindle.core.protocol.forwarding.InstanceRegistration;
 import org.sequoiaspindle.core.protocol.forwarding.Registry;
 import org.sequoiaspindle.core.protocol.forwarding.RegistryLayout;
-import org.sequoiaspindle.core.protocol.forwarding.RegistryWatcher;
 import org.sequoiaspindle.core.protocol.forwarding.StageCodec;
-import org.sequoiaspindle.core.protocol.relay.RelayedStore;
-import org.sequoiaspindle.core.protocol.relay.SharedStore;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
 import org.sequoiaspindle.core.state.forwarding.InstanceEntry;
 import org.sequoiaspindle.daemon.state.ForwardingSettings;
 import org.sequoiaspindle.daemon.transport.http.ConnectionPool;
 import org.sequoiaspindle.daemon.transport.http.HttpCallClient;
-import org.sequoiaspindle.daemon.transport.relay.RelayLinks;
-import org.sequoiaspindle.daemon.transport.relay.RelayListener;
 import org.sequoiaspindle.daemon.transport.telemetry.ForwardingMetrics;
 
 /** An instance that forwards requests. Creates the components and manages their life cycle. */
@@ -94,11 +88,7 @@
     private final Registry registry;
     private final ForwardingContext context;
     private final PieceListener pieceListener;
-    private final RelayListener relayListener;
-    private final RegistryWatcher watcher;
-    private final Store store;
-    private final Timer timer;
-    private InstanceRegistration registration;
+    private final RegistrySync registrySync;
     private HostPort clientAddress;
     private HostPort readinessAddress;
 
@@ -114,15 +104,19 @@
         loops.forEach(loop -> workers.put(loop, newWorker((EventLoop) loop)));
         control = workers.get(loops.next());
         registry = new Registry(adapter.layout(), clock, MillisClock.wall(), events);
-        store = metrics.countStoreCalls(adapter.storeFactory().apply(control.httpClient()));
-        timer = newTimer(control.loop());
-        SharedStore sharedStore =
-                new SharedStore(store, adapter.layout().configurationKey(), clock, timer);
-        relayListener = new RelayListener(sharedStore, control.loop());
-        watcher =
+        registrySync =
                 closer.register(
-                        new RegistryWatcher(
-                                newRelayedStore(sharedStore), adapter.layout(), registry, timer));
+                        new RegistrySync(
+                                settings,
+                                metrics.countStoreCalls(
+                                        adapter.storeFactory().apply(control.httpClient())),
+                                adapter.layout(),
+                                registry,
+                                control.loop(),
+                                newTimer(control.loop()),
+                                clock,
+                                metrics,
+                                events));
         ReplicaStatuses statuses = new ReplicaStatuses(settings.dataCentre());
         LocalPieceExecutor localExecutor =
                 new LocalPieceExecutor(service -> newBatchingExecutor(service, statuses, adapter));
@@ -161,7 +155,7 @@
         CompletableFuture<Void> drained = new CompletableFuture<>();
         events.record(LogEvent.DRAIN_STARTED, HashMap.empty());
         connections.drain();
-        registration.deregister();
+        registrySync.deregister();
         long startedAt = clock.now();
         control.loop()
                 .scheduleWithFixedDelay(
@@ -206,12 +200,9 @@
     }
 
     private void open() {
-        control.loop().execute(watcher::start);
+        registrySync.startWatching();
         InstanceEntry self = listenForInstances();
-        registration =
-                closer.register(
-                        new InstanceRegistration(store, self, settings.leaseMillis(), timer));
-        registration.register();
+        registrySync.register(self);
         listenForStatusRequests();
         clientAddress =
                 listen(
@@ -246,7 +237,9 @@
                         ListenerSockets.bindPeers(
                                 loops, settings.peerLink(), pieceListener::install));
         HostPort relay =
-                listen(ListenerSockets.bindPeers(loops, settings.relay(), relayListener::install));
+                listen(
+                        ListenerSockets.bindPeers(
+                                loops, settings.relay(), registrySync::acceptFollower));
         return new InstanceEntry(
                 settings.instance(), settings.dataCentre(), pieces, Optional.of(relay));
     }
@@ -287,17 +280,6 @@
         return new HostPort(bound.getAddress().getHostAddress(), bound.getPort());
     }
 
-    /** Returns a store that is confined to the control loop, like the shared store. */
-    private RelayedStore newRelayedStore(SharedStore sharedStore) {
-        return new RelayedStore(
-                settings.instance(),
-                () -> registry.instances().values(),
-                metrics.countRelayedReads(new RelayLinks(control.loop())),
-                sharedStore,
-                clock,
-                events);
-    }
-
     private EventLoopWorker newWorker(EventLoop loop) {
         ConnectionPool pool = new ConnectionPool(loop, NioSocketChannel.class, clock);
         return new EventLoopWorker(loop, pool, new HttpCallClient(loop, pool));
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContextTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContextTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.common.Timer;
 import org.sequoiaspindle.core.protocol.forwarding.Registry;
 import org.sequoiaspindle.core.protocol.forwarding.RegistryLayout;
 import org.sequoiaspindle.core.protocol.forwarding.RegistryWatcher;
@@ -70,7 +71,14 @@
                 command ->
                         CompletableFuture.completedFuture(
                                 new StoreResult.Listed(Vector.of(item), false, 1));
-        new RegistryWatcher(store, layout, registry, (delay, task) -> () -> {}).start();
+        Timer timer =
+                (delay, task) -> {
+                    if (delay == 0) {
+                        task.run();
+                    }
+                    return () -> {};
+                };
+        new RegistryWatcher(store, layout, registry, timer).start(0);
         return new ForwardingContext(
                 settings(),
                 registry,
