Give up failure responses without end

Cause: the body of a failure response was buffered whole, whatever its length, so a faulty replica that sends a body without end fills the memory until the process ends, and all its requests with it.

Change: a failure response over 512 KiB is given up like a broken one; its connection is closed and the caller gets 502.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
@@ -29,7 +29,8 @@
 final class ReplicaAttempt implements ResponseListener {
 
     /**
-     * Maximum size of a buffered response, in bytes; a larger response is passed on as it arrives.
+     * Maximum size of a buffered response, in bytes. A larger success is passed on as it arrives; a
+     * larger failure is given up, because a faulty replica may send bytes without end.
      */
     private static final int MAX_BUFFERED_BYTES = 512 * 1024;
 
@@ -176,11 +177,15 @@
             return;
         }
         bufferedBody.writeBytes(bytes);
-        boolean isStream =
-                forwardedRequest.route().kind() == RequestKind.STREAM && responseHead.isSuccess();
-        if (isStream
-                || (responseHead.isSuccess()
-                        && bufferedBody.readableBytes() > MAX_BUFFERED_BYTES)) {
+        boolean isTooLong = bufferedBody.readableBytes() > MAX_BUFFERED_BYTES;
+        if (!responseHead.isSuccess()) {
+            if (isTooLong) {
+                connection.abort();
+                failed("failure response longer than " + MAX_BUFFERED_BYTES + " bytes");
+            }
+            return;
+        }
+        if (isTooLong || forwardedRequest.route().kind() == RequestKind.STREAM) {
             responseStarted = true;
             forwardedRequest.releaseInputs();
             forwardedRequest.firstBytesReceived();
