--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/PieceMessageCodec.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/PieceMessageCodec.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.sequoiaspindle.core.coordination.forwarding.Piece;
 import org.sequoiaspindle.core.protocol.peer.MessagePackTree;
+import org.sequoiaspindle.core.protocol.peer.TreeFields;
 
 /** Encodes a {@link PieceMessage} in MessagePack, as a map with the type and the fields. */
 public final class PieceMessageCodec {
@@ -52,14 +53,14 @@
         }
         try {
             return Either.right(
-                    switch (string(fields, TYPE)) {
+                    switch (TreeFields.string(fields, TYPE)) {
                         case "order" ->
                                 new PieceMessage.Request(
-                                        number(fields, NUMBER), decodePiece(fields));
-                        case "cancel" -> new PieceMessage.Cancel(number(fields, NUMBER));
+                                        TreeFields.number(fields, NUMBER), decodePiece(fields));
+                        case "cancel" -> new PieceMessage.Cancel(TreeFields.number(fields, NUMBER));
                         case "done" ->
                                 new PieceMessage.Reply(
-                                        number(fields, NUMBER), decodeResult(fields));
+                                        TreeFields.number(fields, NUMBER), decodeResult(fields));
                         case "release" -> new PieceMessage.Release(strings(fields, "handles"));
                         case "ping" -> new PieceMessage.Ping();
                         case "pong" -> new PieceMessage.Pong();
@@ -86,17 +87,17 @@
 
     private static Piece decodePiece(Map<?, ?> fields) {
         return new Piece(
-                string(fields, "request"),
-                (int) number(fields, "stage"),
-                (int) number(fields, "piece"),
-                string(fields, "service"),
-                string(fields, "key"),
+                TreeFields.string(fields, "request"),
+                (int) TreeFields.number(fields, "stage"),
+                (int) TreeFields.number(fields, "piece"),
+                TreeFields.string(fields, "service"),
+                TreeFields.string(fields, "key"),
                 strings(fields, "inputs"),
-                number(fields, "resultBytes"),
-                string(fields, "dataCentre"),
-                number(fields, "usefulFor"),
-                number(fields, "dueIn"),
-                (int) number(fields, "priority"));
+                TreeFields.number(fields, "resultBytes"),
+                TreeFields.string(fields, "dataCentre"),
+                TreeFields.number(fields, "usefulFor"),
+                TreeFields.number(fields, "dueIn"),
+                (int) TreeFields.number(fields, "priority"));
     }
 
     private static void encodeResult(PieceResult result, Map<String, Object> tree) {
@@ -109,23 +110,9 @@
 
     private static PieceResult decodeResult(Map<?, ?> fields) {
         return fields.containsKey("handle")
-                ? new PieceResult.Completed(string(fields, "handle"))
+                ? new PieceResult.Completed(TreeFields.string(fields, "handle"))
                 : new PieceResult.NotCompleted(
-                        PieceResult.Reason.valueOf(string(fields, "reason")));
-    }
-
-    private static String string(Map<?, ?> fields, String name) {
-        if (fields.get(name) instanceof String value) {
-            return value;
-        }
-        throw new IllegalArgumentException(name + " is not a string");
-    }
-
-    private static long number(Map<?, ?> fields, String name) {
-        if (fields.get(name) instanceof Long number) {
-            return number;
-        }
-        throw new IllegalArgumentException(name + " is not a number");
+                        PieceResult.Reason.valueOf(TreeFields.string(fields, "reason")));
     }
 
     private static List<String> strings(Map<?, ?> fields, String name) {
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/relay/RelayMessageCodec.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/relay/RelayMessageCodec.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import org.sequoiaspindle.core.protocol.peer.MessagePackTree;
+import org.sequoiaspindle.core.protocol.peer.TreeFields;
 import org.sequoiaspindle.core.protocol.store.StoreChange;
 import org.sequoiaspindle.core.protocol.store.StoreCommand;
 import org.sequoiaspindle.core.protocol.store.StoreResult;
@@ -100,26 +101,28 @@
             return Either.left("not a map");
         }
         try {
-            long number = number(fields, NUMBER);
+            long number = TreeFields.number(fields, NUMBER);
             return Either.right(
-                    switch (string(fields, TYPE)) {
+                    switch (TreeFields.string(fields, TYPE)) {
                         case "read" ->
                                 new RelayMessage.Query(
                                         number,
                                         new StoreCommand.ReadNewer(
-                                                string(fields, "key"), number(fields, "known")));
+                                                TreeFields.string(fields, "key"),
+                                                TreeFields.number(fields, "known")));
                         case "list" ->
                                 new RelayMessage.Query(
                                         number,
                                         new StoreCommand.ListItems(
-                                                string(fields, "prefix"), string(fields, "after")));
+                                                TreeFields.string(fields, "prefix"),
+                                                TreeFields.string(fields, "after")));
                         case "watch" ->
                                 new RelayMessage.Query(
                                         number,
                                         new StoreCommand.AwaitChanges(
-                                                string(fields, "prefix"),
-                                                number(fields, REVISION),
-                                                number(fields, "waitMs")));
+                                                TreeFields.string(fields, "prefix"),
+                                                TreeFields.number(fields, REVISION),
+                                                TreeFields.number(fields, "waitMs")));
                         default -> new RelayMessage.Reply(number, decodeResult(fields));
                     });
         } catch (IllegalArgumentException e) {
@@ -128,16 +131,17 @@
     }
 
     private static StoreResult decodeResult(Map<?, ?> fields) {
-        return switch (string(fields, TYPE)) {
+        return switch (TreeFields.string(fields, TYPE)) {
             case "listed" ->
                     new StoreResult.Listed(
                             decodeChanges(fields).map(RelayMessageCodec::requireWritten),
                             Boolean.TRUE.equals(fields.get("more")),
-                            number(fields, REVISION));
+                            TreeFields.number(fields, REVISION));
             case "changed" ->
-                    new StoreResult.Changed(decodeChanges(fields), number(fields, REVISION));
+                    new StoreResult.Changed(
+                            decodeChanges(fields), TreeFields.number(fields, REVISION));
             case "historyLost" -> new StoreResult.HistoryLost();
-            case "unavailable" -> new StoreResult.Unavailable(string(fields, "reason"));
+            case "unavailable" -> new StoreResult.Unavailable(TreeFields.string(fields, "reason"));
             default -> throw new IllegalArgumentException("unknown type");
         };
     }
@@ -171,18 +175,4 @@
         }
         throw new IllegalArgumentException("a listing contains an item without a value");
     }
-
-    private static String string(Map<?, ?> fields, String name) {
-        if (fields.get(name) instanceof String value) {
-            return value;
-        }
-        throw new IllegalArgumentException(name + " is not a string");
-    }
-
-    private static long number(Map<?, ?> fields, String name) {
-        if (fields.get(name) instanceof Long number) {
-            return number;
-        }
-        throw new IllegalArgumentException(name + " is not a number");
-    }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PieceLink.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PieceLink.java
@@ -1,14 +1,9 @@
 package org.sequoiaspindle.daemon.transport.forwarding;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.vavr.collection.HashMap;
-import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -21,7 +16,7 @@
 import org.sequoiaspindle.core.protocol.forwarding.PieceMessage;
 import org.sequoiaspindle.core.protocol.forwarding.PieceResult;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
-import org.sequoiaspindle.daemon.transport.frame.FrameHandler;
+import org.sequoiaspindle.daemon.transport.frame.FrameClient;
 
 /**
  * Requests pieces from one other instance. If the peer is unreachable or unresponsive, pending
@@ -42,8 +37,6 @@
     /** Interval between attempts to reconnect to a failed peer, in milliseconds. */
     static final long RECONNECT_INTERVAL_MS = 1_000;
 
-    private static final int CONNECT_TIMEOUT_MS = 400;
-
     /** A request without a reply so far. */
     private record PendingRequest(
             Piece piece, BooleanSupplier isNeeded, CompletableFuture<PieceResult> result) {}
@@ -136,23 +129,8 @@
     private void connect() {
         connecting = true;
         ChannelFuture future =
-                new Bootstrap()
-                        .group(loop)
-                        .channel(NioSocketChannel.class)
-                        .option(ChannelOption.TCP_NODELAY, true)
-                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                        .handler(
-                                new ChannelInitializer<Channel>() {
-                                    @Override
-                                    protected void initChannel(Channel newChannel) {
-                                        FrameHandler.install(
-                                                newChannel,
-                                                PieceFrames.FORMAT,
-                                                (from, message) -> received(message),
-                                                PieceLink.this::closed);
-                                    }
-                                })
-                        .connect(new InetSocketAddress(address.host(), address.port()));
+                FrameClient.connect(
+                        loop, address, PieceFrames.FORMAT, this::received, this::closed);
         future.addListener(
                 done -> {
                     connecting = false;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/relay/RelayLink.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/relay/RelayLink.java
@@ -1,13 +1,8 @@
 package org.sequoiaspindle.daemon.transport.relay;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.socket.nio.NioSocketChannel;
-import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -17,7 +12,7 @@
 import org.sequoiaspindle.core.protocol.store.StoreCommand;
 import org.sequoiaspindle.core.protocol.store.StoreResult;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
-import org.sequoiaspindle.daemon.transport.frame.FrameHandler;
+import org.sequoiaspindle.daemon.transport.frame.FrameClient;
 
 /**
  * Connection to an instance through which the store is read. A query without a reply in time closes
@@ -32,8 +27,6 @@
      */
     static final long REPLY_TIMEOUT_MS = 1_200;
 
-    private static final int CONNECT_TIMEOUT_MS = 400;
-
     private final HostPort address;
     private final EventLoop loop;
     private final Runnable onClosed;
@@ -74,23 +67,12 @@
 
     private void connect() {
         ChannelFuture future =
-                new Bootstrap()
-                        .group(loop)
-                        .channel(NioSocketChannel.class)
-                        .option(ChannelOption.TCP_NODELAY, true)
-                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
-                        .handler(
-                                new ChannelInitializer<Channel>() {
-                                    @Override
-                                    protected void initChannel(Channel newChannel) {
-                                        FrameHandler.install(
-                                                newChannel,
-                                                RelayFrames.FORMAT,
-                                                (from, message) -> received(message),
-                                                ignored -> close("was closed"));
-                                    }
-                                })
-                        .connect(new InetSocketAddress(address.host(), address.port()));
+                FrameClient.connect(
+                        loop,
+                        address,
+                        RelayFrames.FORMAT,
+                        this::received,
+                        ignored -> close("was closed"));
         future.addListener(
                 done -> {
                     if (!done.isSuccess()) {
