Read directly while catching up after a reader of the store failed

Callers: a request could reach a replica up to 3.3 s after it had said that it leaves, where 2 s are allowed, from an instance that itself reached the store all the time. Cause: an instance noticed a reader that had lost the store, frozen or been cut off by the time-out of its poll (up to 0.5 s to the next one and 1.2 s), then asked the next reader, which could be in the same state for as long, while its watch stayed at the failed reader. After that it still waited 0.6 s for the watch. New with the reading through instances. Change: a failed reader loses all commands that are pending there at once; these, and those of the next 2 s, are sent directly and to the next reader at the same time, and the first usable result counts. Evidence: LeavingReplicaSimulationTest fails on the old code in all four properties (readers lose the store, freeze, are killed, are cut off: 'expected: <true> but was: <false>') and passes now, 300 histories each.

--- a/core/src/main/java/org/sequoiaspindle/core/protocol/relay/RelayedStore.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/relay/RelayedStore.java
@@ -4,8 +4,12 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
 import org.sequoiaspindle.core.common.EventLog;
@@ -20,14 +24,21 @@
 import org.sequoiaspindle.core.state.forwarding.InstanceEntry;
 
 /**
- * Reads the platform's store through the first instances of the data centre that respond, and
+ * Reads the platform's store through the first instance of the data centre that responds, and
  * directly if there is none. Writes are always direct. Only a failure of the direct way is reported
  * as a failure of the store. Thread-safe.
+ *
+ * <p>When a reader fails, everything that this instance knows may be as old as the oldest command
+ * that the reader has not answered. All commands pending at the reader, and those of the next
+ * {@link #CATCH_UP_MS}, are therefore sent to the next reader and directly at the same time.
  */
 public final class RelayedStore implements Store {
 
-    /** Readers that are asked for one command before the store is read directly. */
-    private static final int MAX_READERS_ASKED = 2;
+    /**
+     * Time after the failure of a reader in which commands are also executed directly, in
+     * milliseconds: enough for a poll, a listing and a new watch.
+     */
+    static final long CATCH_UP_MS = 2_000;
 
     /** Name of this instance in the log, as the one through which the store is read. */
     private static final String SELF = "self";
@@ -49,6 +60,11 @@
             new AtomicReference<>(ReaderHoldOff.NONE);
     private final AtomicReference<DirectReadPause> pause;
     private final AtomicReference<String> currentReader = new AtomicReference<>(SELF);
+    private final AtomicLong catchUpUntil = new AtomicLong(Long.MIN_VALUE);
+
+    /** Commands that a reader has not answered yet, by the name of the reader. */
+    private final ConcurrentMap<String, Set<CompletableFuture<StoreResult>>> pendingByReader =
+            new ConcurrentHashMap<>();
 
     /**
      * Creates a store that is read directly until other instances are known.
@@ -79,31 +95,79 @@
         }
         List<InstanceEntry> candidates =
                 StoreReaderSelector.readersBefore(instanceName, instances.get());
-        return executeAt(candidates, command, MAX_READERS_ASKED);
+        if (clock.now() < catchUpUntil.get()) {
+            return executeBothWays(candidates, command);
+        }
+        Optional<InstanceEntry> reader = firstReader(candidates);
+        return reader.isEmpty()
+                ? executeDirectly(command, !candidates.isEmpty())
+                : executeAt(reader.get(), command)
+                        .thenCompose(
+                                result ->
+                                        result instanceof StoreResult.Unavailable
+                                                ? executeBothWays(candidates, command)
+                                                : CompletableFuture.completedFuture(result));
+    }
+
+    private Optional<InstanceEntry> firstReader(List<InstanceEntry> candidates) {
+        return candidates.stream()
+                .filter(entry -> !holdOff.get().isHeldOff(entry.name(), clock.now()))
+                .findFirst();
+    }
+
+    /** Executes a command at the next reader and directly; the first usable result counts. */
+    private CompletionStage<StoreResult> executeBothWays(
+            List<InstanceEntry> candidates, StoreCommand command) {
+        CompletionStage<StoreResult> directResult = executeDirectly(command, !candidates.isEmpty());
+        return firstReader(candidates)
+                .map(reader -> firstUsable(directResult, executeAt(reader, command)))
+                .orElse(directResult);
     }
 
-    private CompletionStage<StoreResult> executeAt(
-            List<InstanceEntry> candidates, StoreCommand command, int readersLeft) {
-        Optional<InstanceEntry> reader =
-                candidates.stream()
-                        .filter(entry -> !holdOff.get().isHeldOff(entry.name(), clock.now()))
-                        .findFirst();
-        if (reader.isEmpty() || readersLeft == 0) {
-            return executeDirectly(command, !candidates.isEmpty());
+    private static CompletionStage<StoreResult> firstUsable(
+            CompletionStage<StoreResult> one, CompletionStage<StoreResult> other) {
+        CompletableFuture<StoreResult> first = new CompletableFuture<>();
+        for (CompletionStage<StoreResult> stage : List.of(one, other)) {
+            stage.thenAccept(
+                    result -> {
+                        if (!(result instanceof StoreResult.Unavailable)) {
+                            first.complete(result);
+                        }
+                    });
         }
-        String name = reader.get().name();
-        return readers.execute(reader.get(), command)
-                .thenCompose(
-                        result -> {
-                            if (result instanceof StoreResult.Unavailable) {
-                                holdOff.updateAndGet(
-                                        current -> current.withFailure(name, clock.now()));
-                                return executeAt(candidates, command, readersLeft - 1);
-                            }
-                            holdOff.updateAndGet(current -> current.withSuccess(name));
-                            recordReader(name);
-                            return CompletableFuture.completedFuture(result);
-                        });
+        one.thenCombine(other, (a, b) -> a).thenAccept(first::complete);
+        return first;
+    }
+
+    private CompletionStage<StoreResult> executeAt(InstanceEntry reader, StoreCommand command) {
+        CompletableFuture<StoreResult> pending = new CompletableFuture<>();
+        Set<CompletableFuture<StoreResult>> pendingAtReader =
+                pendingByReader.computeIfAbsent(
+                        reader.name(), name -> ConcurrentHashMap.newKeySet());
+        pendingAtReader.add(pending);
+        readers.execute(reader, command).thenAccept(pending::complete);
+        return pending.thenApply(
+                result -> {
+                    pendingAtReader.remove(pending);
+                    if (result instanceof StoreResult.Unavailable) {
+                        readerFailed(reader.name(), result);
+                    } else {
+                        holdOff.updateAndGet(current -> current.withSuccess(reader.name()));
+                        recordReader(reader.name());
+                    }
+                    return result;
+                });
+    }
+
+    /** Gives up all commands that are pending at a reader, once for each of its failures. */
+    private void readerFailed(String reader, StoreResult failure) {
+        Set<CompletableFuture<StoreResult>> pending = pendingByReader.remove(reader);
+        if (pending == null) {
+            return;
+        }
+        holdOff.updateAndGet(current -> current.withFailure(reader, clock.now()));
+        catchUpUntil.set(clock.now() + CATCH_UP_MS);
+        pending.forEach(command -> command.complete(failure));
     }
 
     /**
