Pass the pieces of a stage to the batching executor together

A request passed its pieces one by one, and the executor forms a call 2 ms after the first one; a thread that is preempted in between splits the pieces of a stage into two calls, each of which costs its full overhead at the replica. Change: the pieces of a stage are passed in one call and are queued in one task of the event loop. Between instances the pieces still go in one frame each, so a batching instance elsewhere can split them; not measured.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceExecutor.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceExecutor.java
@@ -37,7 +37,7 @@
  */
 final class BatchingPieceExecutor implements PieceExecutor {
 
-    /** Delay of a batch in milliseconds, so that it includes all pieces of a request. */
+    /** Delay of a batch in milliseconds, so that it includes pieces of several requests. */
     private static final long BATCH_DELAY_MS = 2;
 
     /** Maximum interval at which a queue with pieces is processed, in milliseconds. */
@@ -87,15 +87,19 @@
     }
 
     @Override
-    public CompletionStage<PieceResult> execute(Piece piece, BooleanSupplier isNeeded) {
-        CompletableFuture<PieceResult> result = new CompletableFuture<>();
+    public List<CompletionStage<PieceResult>> execute(
+            List<Piece> pieces, BooleanSupplier isNeeded) {
+        List<PendingPiece> pending =
+                pieces.stream()
+                        .map(piece -> new PendingPiece(piece, isNeeded, new CompletableFuture<>()))
+                        .toList();
         worker.loop()
                 .execute(
                         () -> {
-                            queuedPieces.put(piece, new PendingPiece(piece, isNeeded, result));
+                            enqueue(pending);
                             dispatchSoon();
                         });
-        return result;
+        return pending.stream().<CompletionStage<PieceResult>>map(PendingPiece::result).toList();
     }
 
     /** Records that a call to release results at the replica has ended. */
@@ -111,7 +115,7 @@
                         });
     }
 
-    /** Processes the queue after a delay, during which more pieces of a request can arrive. */
+    /** Processes the queue after a delay, during which pieces of other requests can arrive. */
     private void dispatchSoon() {
         if (!delayedDispatchScheduled) {
             delayedDispatchScheduled = true;
@@ -272,16 +276,16 @@
         }
         if (outcome instanceof ReplicaPieceClient.NotSent notSent) {
             status.updateHealth(health -> health.afterConnectFailure(now));
-            requeue(pending);
+            enqueue(pending);
             return notSent.reason();
         }
         if (outcome instanceof ReplicaPieceClient.Busy) {
             busyUntil.put(replica.id(), now + (long) spec.callOverheadMillis());
-            requeue(pending);
+            enqueue(pending);
             return "full";
         }
         status.updateHealth(health -> health.afterFailure(now));
-        pending.forEach(pendingPiece -> complete(pendingPiece, PieceResult.Reason.FAILED));
+        fail(pending, PieceResult.Reason.FAILED);
         return ((ReplicaPieceClient.Failed) outcome).reason();
     }
 
@@ -314,12 +318,12 @@
             return "made";
         }
         resultMemory.recordExhausted(replica.id(), spec.resultMemoryBytes(), now);
-        requeue(piecesWithoutMemory);
+        enqueue(piecesWithoutMemory);
         return "no room for " + piecesWithoutMemory.size();
     }
 
-    /** Returns pieces that were not started to the queue. */
-    private void requeue(List<PendingPiece> pending) {
+    /** Adds pieces that are not started to the queue. */
+    private void enqueue(List<PendingPiece> pending) {
         pending.forEach(pendingPiece -> queuedPieces.put(pendingPiece.piece(), pendingPiece));
     }
 
@@ -340,8 +344,4 @@
                         "outcome",
                         outcome));
     }
-
-    private static void complete(PendingPiece pendingPiece, PieceResult.Reason reason) {
-        pendingPiece.result().complete(new PieceResult.NotCompleted(reason));
-    }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/DistributedPieceExecutor.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/DistributedPieceExecutor.java
@@ -63,15 +63,23 @@
     }
 
     @Override
-    public CompletionStage<PieceResult> execute(Piece piece, BooleanSupplier isNeeded) {
-        Optional<InstanceEntry> batchingInstance = otherBatchingInstance(piece.service());
+    public List<CompletionStage<PieceResult>> execute(
+            List<Piece> pieces, BooleanSupplier isNeeded) {
+        Optional<InstanceEntry> batchingInstance = otherBatchingInstance(pieces.get(0).service());
         if (batchingInstance.isEmpty()) {
-            return localExecutor.execute(piece, isNeeded);
+            return localExecutor.execute(pieces, isNeeded);
         }
-        CompletableFuture<PieceResult> result = new CompletableFuture<>();
+        List<CompletableFuture<PieceResult>> results =
+                pieces.stream().map(piece -> new CompletableFuture<PieceResult>()).toList();
         PieceLink link = link(batchingInstance.get().address());
-        worker.loop().execute(() -> link.request(piece, isNeeded, result));
-        return result;
+        worker.loop()
+                .execute(
+                        () -> {
+                            for (int i = 0; i < pieces.size(); i++) {
+                                link.request(pieces.get(i), isNeeded, results.get(i));
+                            }
+                        });
+        return List.copyOf(results);
     }
 
     @Override
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/LocalPieceExecutor.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/LocalPieceExecutor.java
@@ -28,8 +28,11 @@
     }
 
     @Override
-    public CompletionStage<PieceResult> execute(Piece piece, BooleanSupplier isNeeded) {
-        return executors.computeIfAbsent(piece.service(), factory).execute(piece, isNeeded);
+    public List<CompletionStage<PieceResult>> execute(
+            List<Piece> pieces, BooleanSupplier isNeeded) {
+        return executors
+                .computeIfAbsent(pieces.get(0).service(), factory)
+                .execute(pieces, isNeeded);
     }
 
     /** Records that a call to release results at the replica has ended. */
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/StageGraphExecution.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/StageGraphExecution.java
@@ -4,7 +4,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.sequoiaspindle.core.coordination.forwarding.Piece;
 import org.sequoiaspindle.core.coordination.forwarding.RejectionReason;
 import org.sequoiaspindle.core.coordination.forwarding.StagePlan;
@@ -106,9 +108,11 @@
         for (StageSpec stage : plan.startableStages()) {
             plan = plan.withStarted(stage.number());
             List<String> inputs = plan.inputHandles(stage);
-            for (int number = 0; number < request.metadata().pieceCount(stage.number()); number++) {
-                executePiece(newPiece(stage, number, inputs), 1);
-            }
+            executePieces(
+                    IntStream.range(0, request.metadata().pieceCount(stage.number()))
+                            .mapToObj(number -> newPiece(stage, number, inputs))
+                            .toList(),
+                    1);
         }
     }
 
@@ -175,19 +179,29 @@
         return spec.map(value -> (long) value.durationMillis(pieces)).orElse(0L);
     }
 
-    private void executePiece(Piece piece, int attemptNumber) {
+    private void executePieces(List<Piece> pieces, int attemptNumber) {
+        if (pieces.isEmpty()) {
+            return;
+        }
         int restartsAtStart = restarts;
         long requestedAt = context.clock().now();
-        context.pieceExecutor()
-                .execute(piece, () -> !finished)
-                .thenAccept(
-                        result ->
-                                loop.execute(
-                                        () -> {
-                                            recordDuration(piece, requestedAt, result);
-                                            pieceFinished(
-                                                    piece, attemptNumber, restartsAtStart, result);
-                                        }));
+        List<CompletionStage<PieceResult>> results =
+                context.pieceExecutor().execute(pieces, () -> !finished);
+        for (int i = 0; i < pieces.size(); i++) {
+            Piece piece = pieces.get(i);
+            results.get(i)
+                    .thenAccept(
+                            result ->
+                                    loop.execute(
+                                            () -> {
+                                                recordDuration(piece, requestedAt, result);
+                                                pieceFinished(
+                                                        piece,
+                                                        attemptNumber,
+                                                        restartsAtStart,
+                                                        result);
+                                            }));
+        }
     }
 
     /**
@@ -235,7 +249,7 @@
             case NO_REPLICA -> fail(RejectionReason.NO_REPLICA);
             default -> {
                 if (attemptNumber < MAX_PIECE_ATTEMPTS) {
-                    executePiece(piece, attemptNumber + 1);
+                    executePieces(List.of(piece), attemptNumber + 1);
                 } else {
                     fail(
                             reason == PieceResult.Reason.NO_ROOM
