--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardedRequest.java
@@ -62,7 +62,7 @@
         this.worker = worker;
         this.client = client;
         this.request = request;
-        this.trace = new RequestTrace(context, request.metadata().id(), request.receivedAt());
+        this.trace = new RequestTrace(context, request.metadata(), request.receivedAt());
     }
 
     ClientRequest request() {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestTrace.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestTrace.java
@@ -2,11 +2,14 @@
 
 import io.vavr.collection.LinkedHashMap;
 import io.vavr.collection.Map;
+import java.util.stream.Collectors;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.coordination.forwarding.Admission;
 import org.sequoiaspindle.core.coordination.forwarding.AttemptResult;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatus;
+import org.sequoiaspindle.core.state.forwarding.PromptPart;
 import org.sequoiaspindle.core.state.forwarding.Replica;
+import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
 
 /**
  * Collects the log fields and metrics of one request. Confined to the event loop of the request.
@@ -16,7 +19,7 @@
     private static final long NOT_REACHED = -1;
 
     private final ForwardingContext context;
-    private final String requestId;
+    private final RequestMetadata metadata;
     private final long receivedAt;
     private Admission.Admitted admission;
     private long stagedMillis = NOT_REACHED;
@@ -25,9 +28,9 @@
     private double load;
     private long loadAgeMillis = NOT_REACHED;
 
-    RequestTrace(ForwardingContext context, String requestId, long receivedAt) {
+    RequestTrace(ForwardingContext context, RequestMetadata metadata, long receivedAt) {
         this.context = context;
-        this.requestId = requestId;
+        this.metadata = metadata;
         this.receivedAt = receivedAt;
     }
 
@@ -57,7 +60,9 @@
                         LogEvent.ATTEMPT_FAILED,
                         LinkedHashMap.of(
                                 "requestId",
-                                requestId,
+                                metadata.id(),
+                                "promptParts",
+                                promptPartIds(),
                                 "endpoint",
                                 replica.id().toString(),
                                 "result",
@@ -68,6 +73,10 @@
                                 context.clock().now() - receivedAt));
     }
 
+    private String promptPartIds() {
+        return metadata.promptParts().stream().map(PromptPart::id).collect(Collectors.joining(","));
+    }
+
     /** Records the end of the request, for which {@code completedPieces} pieces were completed. */
     void finish(int status, String reason, int sentAttempts, int completedPieces) {
         long millis = context.clock().now() - receivedAt;
@@ -75,7 +84,7 @@
         context.metrics().recordRequestEnd(service, status, reason, millis);
         Map<String, Object> fields =
                 LinkedHashMap.<String, Object>of(
-                                "requestId", requestId,
+                                "requestId", metadata.id(),
                                 "route", admission == null ? "none" : admission.route().name(),
                                 "service", service,
                                 "status", status,
