Restore the interval between polls of the configuration

Cause: lets polls follow each other after 350 ms in place of 500 ms. A poll is merged to one a second at the reader, so asking earlier only makes its answer older: a confirmation of keys then reaches 1.65 s instead of 1.5 s before the next one. Seen in 2 of 7 runs of a new test whose instances accept keys for 1.6 s: requests refused with KEYS_UNCONFIRMED while the store was sound. Deployments with a short time for revocations would see the same. Change: 500 ms again. Reading directly after the failure of a reader does not need the shorter interval.

--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcher.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcher.java
@@ -39,7 +39,7 @@
      * watch to catch up, a stalled watch is detected within the 3 s after which an instance counts
      * as connected to the store again.
      */
-    static final long POLL_INTERVAL_MS = 350;
+    static final long POLL_INTERVAL_MS = 500;
 
     /**
      * Time for a watch to deliver a revision that a poll has returned, in milliseconds. Normally a
