Treat a stream that ends with its connection inside an event as broken off

Callers: a stream without length and chunks that a replica broke off inside an event was delivered as complete. Cause: the end of the connection was taken for the end of the body wherever it came. Change: the position in the stream is followed; an undelimited success that ends inside an event fails the attempt, and the connection to the client is cut. Result: UndelimitedStreamTest.streamThatEndsWithItsConnectionInsideAnEventIsBrokenOff fails without the check and passes with it; a stream that ends between events stays complete. A stream that breaks off between events cannot be told from a complete one.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
@@ -7,11 +7,13 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Optional;
 import java.util.Set;
 import org.sequoiaspindle.core.coordination.forwarding.AttemptResult;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatus;
+import org.sequoiaspindle.core.protocol.forwarding.EventStreamPosition;
 import org.sequoiaspindle.core.protocol.forwarding.ReplicaRequestContext;
 import org.sequoiaspindle.core.protocol.forwarding.ReplicaResponseHead;
 import org.sequoiaspindle.core.state.forwarding.ApiKeyOwner;
@@ -45,6 +47,8 @@
     private OutboundConnection connection;
     private ReplicaResponseHead responseHead;
     private HttpHeaders responseFields;
+    private EventStreamPosition position = EventStreamPosition.START;
+    private boolean endsWithConnection;
     private boolean responseStarted;
     private boolean finished;
 
@@ -157,6 +161,9 @@
             return false;
         }
         responseHead = parsedHead;
+        endsWithConnection =
+                !HttpUtil.isContentLengthSet(response)
+                        && !HttpUtil.isTransferEncodingChunked(response);
         responseFields = HeaderFilter.copyEndToEnd(response.headers(), Set.of());
         long now = forwardedRequest.context().clock().now();
         responseHead.load().ifPresent(load -> replicaStatus.recordLoad(load, now));
@@ -172,6 +179,9 @@
         if (finished) {
             return;
         }
+        if (isStream()) {
+            bytes.forEachByte(this::advance);
+        }
         if (responseStarted) {
             forwardContent(bytes.retainedDuplicate());
             return;
@@ -185,7 +195,7 @@
             }
             return;
         }
-        if (isTooLong || forwardedRequest.route().kind() == RequestKind.STREAM) {
+        if (isTooLong || isStream()) {
             responseStarted = true;
             forwardedRequest.releaseInputs();
             forwardedRequest.firstBytesReceived();
@@ -194,6 +204,15 @@
         }
     }
 
+    private boolean isStream() {
+        return forwardedRequest.route().kind() == RequestKind.STREAM;
+    }
+
+    private boolean advance(byte next) {
+        position = position.after(next);
+        return true;
+    }
+
     private void forwardContent(ByteBuf bytes) {
         forwardedRequest.client().writePart(bytes);
         if (!forwardedRequest.client().channel().isWritable()) {
@@ -206,10 +225,13 @@
         if (finished) {
             return;
         }
+        if (endsWithConnection && responseHead.isSuccess() && position.insideEvent()) {
+            failed("connection closed inside an event");
+            return;
+        }
         if (responseStarted) {
             finished = true;
-            replicaStatus.requestFinished();
-            replicaStatus.updateHealth(health -> health.afterSuccess());
+            recordSuccess();
             forwardedRequest.streamCompleted(responseHead.status());
             return;
         }
@@ -242,11 +264,17 @@
         finish(AttemptResult.UNKNOWN, reason);
     }
 
+    private void recordSuccess() {
+        replicaStatus.requestFinished();
+        replicaStatus.updateHealth(health -> health.afterSuccess());
+    }
+
     private void finish(AttemptResult result, String reason) {
         finished = true;
-        replicaStatus.requestFinished();
         if (result == AttemptResult.ANSWERED) {
-            replicaStatus.updateHealth(health -> health.afterSuccess());
+            recordSuccess();
+        } else {
+            replicaStatus.requestFinished();
         }
         BufferedResponse response =
                 responseHead == null
