Reject prompts with a part under which replicas crash

Cause: no instance recognised the part. Each instance sees one of these crashes every few seconds, and the next request goes to another replica. Class of fault: an input that is harmful itself is treated like a failure of the replica that received it. Change: a request whose connection ends before its first event, at a replica that then refuses connections, is reported with the shared parts of its prompt. The reports are entries in the store, which all instances watch already. After three crashed replicas under a part, requests with it are rejected at once (503, HARMFUL_PROMPT, before any stage work). The part furthest back in the prompt that explains the crashes is taken, and a request that succeeds clears its parts, so that sound requests with the same system prompt are served. Crashes are forgotten after two minutes.

--- a/cli/src/main/java/org/sequoiaspindle/cli/coordination/CauseFinder.java
+++ b/cli/src/main/java/org/sequoiaspindle/cli/coordination/CauseFinder.java
@@ -39,6 +39,7 @@
             case "FULL" -> appendLastFailedAttempt(lines, "the endpoints tried were at capacity");
             case "NO_REPLICA" -> describeMissingEndpoint(endLine, lines);
             case "STAGE_FAILED" -> appendLongestQueue(lines, "a stage failed");
+            case "HARMFUL_PROMPT" -> "replicas crashed under a part of the prompt; see event 607";
             case "CLIENT_LEFT" -> "the client closed its connection";
             default -> "the instance rejected the request: " + endLine.field("reason");
         };
--- a/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
+++ b/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
@@ -39,7 +39,9 @@
     ENDPOINT_LEAVING(603, Level.INFO, "endpoint is leaving"),
     SPILL_STARTED(604, Level.WARN, "spillover to another data centre started"),
     SPILL_ENDED(605, Level.INFO, "spillover to another data centre ended"),
-    ENDPOINT_ADDED(606, Level.INFO, "endpoint registered");
+    ENDPOINT_ADDED(606, Level.INFO, "endpoint registered"),
+    PROMPT_PART_SUSPECTED(607, Level.WARN, "endpoint crashed before it answered a prompt"),
+    PROMPT_PART_CLEARED(608, Level.INFO, "prompt part answered; evidence withdrawn");
 
     /** Severity of an event. */
     public enum Level {
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/RejectionReason.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/RejectionReason.java
@@ -20,6 +20,8 @@
     FULL,
     /** The request cannot complete before its deadline; it was not executed. */
     TOO_LATE,
+    /** Several replicas crashed under a part of the prompt; the request was not executed. */
+    HARMFUL_PROMPT,
     /** The instance is draining and could not complete the request in time. */
     STOPPING,
     /** A stage of the request failed; the request itself was not executed. */
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/Registry.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/Registry.java
@@ -3,6 +3,7 @@
 import io.vavr.collection.HashMap;
 import io.vavr.control.Either;
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -12,6 +13,8 @@
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.coordination.forwarding.CrashEvidence;
+import org.sequoiaspindle.core.coordination.forwarding.CrashEvidence.Crash;
 import org.sequoiaspindle.core.coordination.forwarding.KeyConfirmation;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaDirectory;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaRegistration;
@@ -24,8 +27,8 @@
 
 /**
  * Local copy of the data in the platform's store: the current configuration, the replicas, the
- * instances, and the time at which the store last confirmed the configuration. Readers get
- * immutable values and never block. Thread-safe.
+ * instances, the evidence of crashes, and the time at which the store last confirmed the
+ * configuration. Readers get immutable values and never block. Thread-safe.
  */
 public final class Registry {
 
@@ -47,6 +50,8 @@
             new AtomicReference<>(new ReplicaSnapshot(ReplicaDirectory.EMPTY, ReplicaTable.EMPTY));
     private final AtomicReference<Map<String, InstanceEntry>> instances =
             new AtomicReference<>(Map.of());
+    private final AtomicReference<CrashEvidence> crashEvidence =
+            new AtomicReference<>(CrashEvidence.EMPTY);
     private final AtomicReference<KeyConfirmation> keyConfirmation =
             new AtomicReference<>(KeyConfirmation.NONE);
     private final AtomicLong configurationRevision = new AtomicLong();
@@ -83,6 +88,11 @@
         return instances.get();
     }
 
+    /** Returns which replicas crashed under which prompt parts. */
+    public CrashEvidence crashEvidence() {
+        return crashEvidence.get();
+    }
+
     /**
      * Returns whether the store confirmed the API keys within the given time. Returns false if the
      * machine was suspended or the wall clock was changed since the confirmation, by more than
@@ -141,6 +151,10 @@
             applyInstanceChange(change);
             return;
         }
+        if (change.key().startsWith(CrashEvidenceKeys.PREFIX)) {
+            CrashEvidenceKeys.crash(change).ifPresent(crash -> applyCrash(crash, change));
+            return;
+        }
         if (!change.key().startsWith(layout.replicaPrefix())) {
             return;
         }
@@ -171,6 +185,31 @@
         instances.set(Map.copyOf(next));
     }
 
+    /** Applies a complete listing of the evidence of crashes. */
+    void replaceCrashes(Collection<StoreChange.Written> items) {
+        List<Crash> crashes =
+                items.stream().map(CrashEvidenceKeys::crash).flatMap(Optional::stream).toList();
+        crashEvidence.updateAndGet(current -> current.replacedBy(crashes, clock.now()));
+    }
+
+    private void applyCrash(Crash crash, StoreChange change) {
+        if (change instanceof StoreChange.Written) {
+            recordCrash(crash);
+        } else {
+            crashEvidence.updateAndGet(current -> current.without(crash.part(), crash.replica()));
+        }
+    }
+
+    /** Records a crash that this instance observed, before the store has the entry. */
+    void recordCrash(Crash crash) {
+        crashEvidence.updateAndGet(current -> current.with(crash, clock.now()));
+    }
+
+    /** Removes the evidence against a part, before the store has removed the entries. */
+    void removeCrashes(String part) {
+        crashEvidence.updateAndGet(current -> current.withoutPart(part));
+    }
+
     private void applyInstanceChange(StoreChange change) {
         String name = change.key().substring(InstanceEntryCodec.PREFIX.length());
         Optional<InstanceEntry> instance =
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcher.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcher.java
@@ -151,7 +151,10 @@
         }
     }
 
-    /** Lists replicas and instances, then watches for changes since the first page was read. */
+    /**
+     * Lists replicas, instances and evidence of crashes, then watches for changes since the first
+     * page was read.
+     */
     private void listAll() {
         long number = listingNumber.incrementAndGet();
         watchedRevision.set(Long.MAX_VALUE);
@@ -167,12 +170,21 @@
                                     replicas.revision()),
                             instances -> {
                                 registry.replaceInstances(instances.items().asJava());
-                                watchedRevision.set(instances.revision());
-                                watch(number);
+                                listCrashes(number, instances.revision());
                             });
                 });
     }
 
+    private void listCrashes(long number, long revision) {
+        list(
+                new Listing(number, CrashEvidenceKeys.PREFIX, Vector.empty(), revision),
+                crashes -> {
+                    registry.replaceCrashes(crashes.items().asJava());
+                    watchedRevision.set(revision);
+                    watch(number);
+                });
+    }
+
     /**
      * Pages of a listing read so far.
      *
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RejectionResponse.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RejectionResponse.java
@@ -1,6 +1,7 @@
 package org.sequoiaspindle.core.protocol.forwarding;
 
 import java.util.OptionalLong;
+import org.sequoiaspindle.core.coordination.forwarding.CrashEvidence;
 import org.sequoiaspindle.core.coordination.forwarding.RejectionReason;
 
 /**
@@ -35,6 +36,7 @@
             case BODY_TOO_LARGE -> new RejectionResponse(413, OptionalLong.empty());
             case NO_REPLICA, STAGE_FAILED -> retryAfter(REPLICA_RETRY_MS);
             case FULL, TOO_LATE -> retryAfter(FULL_RETRY_MS);
+            case HARMFUL_PROMPT -> retryAfter(CrashEvidence.TTL_MS);
             case STOPPING -> retryAfter(OTHER_INSTANCE_RETRY_MS);
             case ANSWER_LOST -> new RejectionResponse(502, OptionalLong.empty());
             case TIMED_OUT -> new RejectionResponse(504, OptionalLong.empty());
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/store/StoreCommand.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/store/StoreCommand.java
@@ -1,5 +1,8 @@
 package org.sequoiaspindle.core.protocol.store;
 
+import java.util.Map;
+import java.util.Set;
+
 /** Command to the key-value service of the platform. */
 public sealed interface StoreCommand {
 
@@ -28,6 +31,31 @@
         }
     }
 
+    /**
+     * Writes values, whether or not their keys exist.
+     *
+     * @param values at most 32 values by key
+     * @param lease lease whose expiry deletes the keys
+     */
+    record WriteAll(Map<String, StoreValue> values, long lease) implements StoreCommand {
+
+        public WriteAll {
+            values = Map.copyOf(values);
+        }
+    }
+
+    /**
+     * Deletes keys, whether or not they exist.
+     *
+     * @param keys at most 32 keys
+     */
+    record DeleteAll(Set<String> keys) implements StoreCommand {
+
+        public DeleteAll {
+            keys = Set.copyOf(keys);
+        }
+    }
+
     /**
      * Creates a lease that expires unless it is renewed within its time to live.
      *
--- a/core/src/main/java/org/sequoiaspindle/core/state/forwarding/RequestMetadata.java
+++ b/core/src/main/java/org/sequoiaspindle/core/state/forwarding/RequestMetadata.java
@@ -34,6 +34,11 @@
         pieceCounts = List.copyOf(pieceCounts);
     }
 
+    /** Returns the parts of the prompt that other requests may share: all but the last. */
+    public List<PromptPart> sharedPromptParts() {
+        return promptParts.subList(0, Math.max(0, promptParts.size() - 1));
+    }
+
     /** Returns the number of pieces of a stage, 0 for a stage that the request does not mention. */
     public int pieceCount(int stage) {
         return stage < pieceCounts.size() ? pieceCounts.get(stage) : 0;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardedRequest.java
@@ -1,7 +1,5 @@
 package org.sequoiaspindle.daemon.transport.forwarding;
 
-import io.netty.handler.codec.http.DefaultHttpHeaders;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.HashSet;
 import java.util.List;
@@ -29,8 +27,6 @@
 
     private static final int CLIENT_CLOSED_REQUEST = 499;
 
-    private static final double MILLIS_PER_SECOND = 1000;
-
     private final ForwardingContext context;
     private final EventLoopWorker worker;
     private final ClientConnection client;
@@ -117,6 +113,10 @@
         }
         admission = (Admission.Admitted) decision;
         trace.recordAdmission(admission);
+        if (context.isPromptHarmful(request.metadata())) {
+            reject(RejectionReason.HARMFUL_PROMPT);
+            return;
+        }
         context.retryBudgets().recordRequest(admission.service());
         deadlineMillis =
                 request.receivedAt()
@@ -166,6 +166,10 @@
             rejectOrFail(RejectionReason.KEYS_UNCONFIRMED);
             return;
         }
+        if (context.isPromptHarmful(request.metadata())) {
+            rejectOrFail(RejectionReason.HARMFUL_PROMPT);
+            return;
+        }
         Optional<Replica> replica = selectReplica();
         if (replica.isEmpty()) {
             rejectOrFail(usedIds.isEmpty() ? RejectionReason.NO_REPLICA : RejectionReason.FULL);
@@ -268,14 +272,8 @@
             return;
         }
         RejectionResponse response = RejectionResponse.of(reason);
-        HttpHeaders fields = new DefaultHttpHeaders();
-        response.retryAfterMillis()
-                .ifPresent(
-                        millis ->
-                                fields.set(
-                                        "Retry-After", String.valueOf(millis / MILLIS_PER_SECOND)));
         finish(response.status(), reason.name());
-        client.writeResponse(response.status(), fields);
+        client.writeResponse(response.status(), RejectionFields.of(response));
     }
 
     private void deliver(BufferedResponse response) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContext.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContext.java
@@ -6,9 +6,11 @@
 import org.sequoiaspindle.core.coordination.forwarding.FirstByteTimeEstimates;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatuses;
 import org.sequoiaspindle.core.coordination.forwarding.ServiceRetryBudgets;
+import org.sequoiaspindle.core.protocol.forwarding.CrashReporter;
 import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
 import org.sequoiaspindle.core.protocol.forwarding.PieceExecutor;
 import org.sequoiaspindle.core.protocol.forwarding.Registry;
+import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
 import org.sequoiaspindle.daemon.state.ForwardingSettings;
 import org.sequoiaspindle.daemon.transport.telemetry.ForwardingMetrics;
 
@@ -27,6 +29,7 @@
         FirstByteTimeEstimates firstByteTimes,
         PieceExecutor pieceExecutor,
         HandleReleaser releaser,
+        CrashReporter crashReporter,
         ResultLocator locator,
         ForwardingMetrics metrics,
         MillisClock clock,
@@ -58,6 +61,13 @@
         return keysConfirmed(SEND_AGE_FRACTION, afterMillis);
     }
 
+    /** Returns whether replicas crash under a part of the request's prompt. */
+    boolean isPromptHarmful(RequestMetadata metadata) {
+        return registry.crashEvidence()
+                .harmfulPart(metadata.sharedPromptParts(), clock.now())
+                .isPresent();
+    }
+
     private boolean keysConfirmed(double share, long afterMillis) {
         long allowed = settings.maxRevokedKeyMillis();
         return allowed == 0 || registry.keysConfirmed((long) (allowed * share) - afterMillis);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -26,6 +26,7 @@
 import org.sequoiaspindle.core.coordination.forwarding.FirstByteTimeEstimates;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatuses;
 import org.sequoiaspindle.core.coordination.forwarding.ServiceRetryBudgets;
+import org.sequoiaspindle.core.protocol.forwarding.CrashReporter;
 import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
 import org.sequoiaspindle.core.protocol.forwarding.Registry;
 import org.sequoiaspindle.core.protocol.forwarding.RegistryLayout;
@@ -104,12 +105,12 @@
         loops.forEach(loop -> workers.put(loop, newWorker((EventLoop) loop)));
         control = workers.get(loops.next());
         registry = new Registry(adapter.layout(), clock, MillisClock.wall(), events);
+        Store store = metrics.countStoreCalls(adapter.storeFactory().apply(control.httpClient()));
         registrySync =
                 closer.register(
                         new RegistrySync(
                                 settings,
-                                metrics.countStoreCalls(
-                                        adapter.storeFactory().apply(control.httpClient())),
+                                store,
                                 adapter.layout(),
                                 registry,
                                 control.loop(),
@@ -134,7 +135,7 @@
                         new ResultLocator(adapter.stages(), registry),
                         clock,
                         events);
-        context = newContext(adapter, statuses, pieceExecutor);
+        context = newContext(adapter, statuses, pieceExecutor, newCrashReporter(store));
     }
 
     /**
@@ -286,7 +287,10 @@
     }
 
     private ForwardingContext newContext(
-            Adapter adapter, ReplicaStatuses statuses, DistributedPieceExecutor pieceExecutor) {
+            Adapter adapter,
+            ReplicaStatuses statuses,
+            DistributedPieceExecutor pieceExecutor,
+            CrashReporter crashReporter) {
         ForwardingSettings.RetryLimits limits = settings.retryLimits();
         return new ForwardingContext(
                 settings,
@@ -302,12 +306,22 @@
                 new FirstByteTimeEstimates(),
                 pieceExecutor,
                 pieceExecutor,
+                crashReporter,
                 new ResultLocator(adapter.stages(), registry),
                 metrics,
                 clock,
                 events);
     }
 
+    private CrashReporter newCrashReporter(Store store) {
+        return new CrashReporter(
+                registry,
+                store,
+                new ReplicaConnectionCheck(control),
+                newTimer(control.loop()),
+                events);
+    }
+
     private BatchingPieceExecutor newBatchingExecutor(
             String service, ReplicaStatuses statuses, Adapter adapter) {
         EventLoopWorker worker = workers.get(loops.next());
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import org.sequoiaspindle.core.coordination.forwarding.AttemptResult;
@@ -17,6 +18,7 @@
 import org.sequoiaspindle.core.protocol.forwarding.ReplicaRequestContext;
 import org.sequoiaspindle.core.protocol.forwarding.ReplicaResponseHead;
 import org.sequoiaspindle.core.state.forwarding.ApiKeyOwner;
+import org.sequoiaspindle.core.state.forwarding.PromptPart;
 import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.core.state.forwarding.RequestKind;
 import org.sequoiaspindle.daemon.transport.http.ConnectionPool.Destination;
@@ -48,6 +50,7 @@
     private ReplicaResponseHead responseHead;
     private HttpHeaders responseFields;
     private EventStreamPosition position = EventStreamPosition.START;
+    private boolean eventCompleted;
     private boolean endsWithConnection;
     private boolean responseStarted;
     private boolean finished;
@@ -209,7 +212,9 @@
     }
 
     private boolean advance(byte next) {
+        boolean wasInsideEvent = position.insideEvent();
         position = position.after(next);
+        eventCompleted |= wasInsideEvent && !position.insideEvent();
         return true;
     }
 
@@ -255,6 +260,9 @@
         }
         long now = forwardedRequest.context().clock().now();
         replicaStatus.updateHealth(health -> health.afterFailure(now));
+        if (!eventCompleted) {
+            forwardedRequest.context().crashReporter().requestLost(replica, sharedPromptParts());
+        }
         if (responseStarted) {
             finished = true;
             replicaStatus.requestFinished();
@@ -267,6 +275,13 @@
     private void recordSuccess() {
         replicaStatus.requestFinished();
         replicaStatus.updateHealth(health -> health.afterSuccess());
+        if (responseHead.isSuccess()) {
+            forwardedRequest.context().crashReporter().requestServed(sharedPromptParts());
+        }
+    }
+
+    private List<PromptPart> sharedPromptParts() {
+        return forwardedRequest.request().metadata().sharedPromptParts();
     }
 
     private void finish(AttemptResult result, String reason) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ConnectionPool.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ConnectionPool.java
@@ -79,6 +79,11 @@
         connect(destination, callback);
     }
 
+    /** Returns an acquired connection that has not been used. */
+    public void release(Destination destination, OutboundConnection connection) {
+        returnToPool(destination, connection);
+    }
+
     private void connect(Destination destination, BiConsumer<OutboundConnection, String> callback) {
         ChannelFuture connectFuture =
                 new Bootstrap()
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContextTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContextTest.java
@@ -91,6 +91,7 @@
                 null,
                 null,
                 null,
+                null,
                 clock,
                 null);
     }
--- a/standins/src/main/java/org/sequoiaspindle/standins/coordination/RegistryStore.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/coordination/RegistryStore.java
@@ -58,13 +58,17 @@
     }
 
     /**
-     * Writes all values if the revision of every key is the expected revision.
+     * Writes and removes if the revision of every key is the expected revision.
      *
      * @param expectedRevisions expected revision by key, 0 for an absent key
+     * @param removedKeys keys to remove, which need not exist
      * @return the new revision, or empty if a revision does not match
      */
     public synchronized Optional<Long> writeIf(
-            Map<String, Long> expectedRevisions, Map<String, ImmutableBytes> values, long lease) {
+            Map<String, Long> expectedRevisions,
+            Map<String, ImmutableBytes> values,
+            long lease,
+            List<String> removedKeys) {
         boolean revisionsMatch =
                 expectedRevisions.entrySet().stream()
                         .allMatch(entry -> revisionOf(entry.getKey()) == entry.getValue());
@@ -72,6 +76,7 @@
             return Optional.empty();
         }
         values.forEach((key, value) -> write(key, value, lease));
+        removedKeys.forEach(this::remove);
         return Optional.of(revision);
     }
 
--- a/standins/src/main/java/org/sequoiaspindle/standins/protocol/RegistryFrontEnd.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/protocol/RegistryFrontEnd.java
@@ -4,6 +4,7 @@
 import static org.sequoiaspindle.standins.protocol.Router.underPath;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.List;
@@ -135,7 +136,9 @@
             responder.send(FullResponse.error(404, "no such lease"));
             return;
         }
-        Optional<Long> revision = store.writeIf(expectedRevisions, values, lease);
+        List<String> removedKeys = new ArrayList<>();
+        body.path("remove").forEach(key -> removedKeys.add(key.asText()));
+        Optional<Long> revision = store.writeIf(expectedRevisions, values, lease, removedKeys);
         responder.send(
                 revision.map(value -> FullResponse.json(200, Map.of("revision", value)))
                         .orElseGet(
--- a/standins/src/main/java/org/sequoiaspindle/standins/protocol/ReplicaFrontEnd.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/protocol/ReplicaFrontEnd.java
@@ -20,6 +20,7 @@
  */
 public final class ReplicaFrontEnd {
 
+    private static final String PROMPT_PREFIX_HEADER = "x-sequoiaspindle-prompt-prefix";
     private static final String ATTEMPT_ID_HEADER = "x-sequoiaspindle-attempt-id";
     private static final String EXPECTED_INSTANCE_HEADER = "x-sequoiaspindle-expect-instance";
     private static final String NOT_EXECUTED_HEADER = "X-Sequoiaspindle-Not-Executed";
@@ -35,12 +36,22 @@
     private final Supplier<String> address;
     private final long serviceMs;
     private final AtomicReference<ReplicaFault> fault = new AtomicReference<>(ReplicaFault.NONE);
+    private final AtomicReference<FatalPart> fatalPart = new AtomicReference<>();
     private final List<FullRequest> executedRequests = new CopyOnWriteArrayList<>();
     private final AtomicLong pieceCallCount = new AtomicLong();
     private final AtomicLong abandonedRequestCount = new AtomicLong();
     private final AtomicLong lastHandleNumber = new AtomicLong();
     private final Set<String> resultHandles = ConcurrentHashMap.newKeySet();
 
+    private record FatalPart(String part, Runnable crash) {
+
+        boolean isIn(FullRequest request) {
+            return request.header(PROMPT_PREFIX_HEADER)
+                    .filter(parts -> parts.contains(part + ":"))
+                    .isPresent();
+        }
+    }
+
     /**
      * Creates a replica without a fault.
      *
@@ -54,6 +65,11 @@
         this.serviceMs = serviceMs;
     }
 
+    /** Crashes when it begins to answer a request with a prompt part. */
+    public void crashOnPart(String part, Runnable crash) {
+        fatalPart.set(new FatalPart(part, crash));
+    }
+
     public void setFault(ReplicaFault value) {
         fault.set(value);
     }
@@ -108,7 +124,14 @@
         // Set before the request is recorded, so that an immediate disconnect is also counted.
         responder.onDisconnect(abandonedRequestCount::incrementAndGet);
         executedRequests.add(request);
-        responder.scheduler().schedule(serviceMs, () -> respond(mode, request, responder));
+        FatalPart fatal = fatalPart.get();
+        responder
+                .scheduler()
+                .schedule(
+                        serviceMs,
+                        fatal != null && fatal.isIn(request)
+                                ? fatal.crash()
+                                : () -> respond(mode, request, responder));
     }
 
     private void respond(ReplicaFault mode, FullRequest request, HttpResponder responder) {
--- a/standins/src/main/java/org/sequoiaspindle/standins/transport/ReplicaServer.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/ReplicaServer.java
@@ -50,6 +50,11 @@
         frontEnd.setFault(fault);
     }
 
+    /** Stops for good when it begins to answer a request with a prompt part. */
+    public void crashOnPart(String part) {
+        frontEnd.crashOnPart(part, () -> new Thread(this::close, "crash-" + id).start());
+    }
+
     /** Returns the executed requests in the order of arrival. */
     public List<FullRequest> executedRequests() {
         return frontEnd.executedRequests();
