Log evidence of a crash that the store did not take

Cause: after five failed writes the evidence was given up without a line in the log. Change: event 609 with the reason. Result: the tests of the reporter and of the event catalogue pass.

--- a/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
+++ b/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
@@ -41,7 +41,8 @@
     SPILL_ENDED(605, Level.INFO, "spillover to another data centre ended"),
     ENDPOINT_ADDED(606, Level.INFO, "endpoint registered"),
     PROMPT_PART_SUSPECTED(607, Level.WARN, "endpoint crashed before it answered a prompt"),
-    PROMPT_PART_CLEARED(608, Level.INFO, "prompt part answered; evidence withdrawn");
+    PROMPT_PART_CLEARED(608, Level.INFO, "prompt part answered; evidence withdrawn"),
+    CRASH_EVIDENCE_NOT_SHARED(609, Level.WARN, "evidence of a crash could not be shared");
 
     /** Severity of an event. */
     public enum Level {
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/CrashReporter.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/CrashReporter.java
@@ -161,15 +161,21 @@
                                                 : CompletableFuture.completedFuture(result))
                         .thenAccept(
                                 result -> {
-                                    boolean done = result instanceof StoreResult.Swapped;
-                                    if (!done && writesLeft > 1) {
-                                        timer.schedule(
-                                                RETRY_DELAY_MS,
-                                                () -> write(crashes, writesLeft - 1));
+                                    if (!(result instanceof StoreResult.Swapped)) {
+                                        writeFailed(crashes, writesLeft - 1, result);
                                     }
                                 }));
     }
 
+    private void writeFailed(Set<Crash> crashes, int writesLeft, StoreResult failure) {
+        if (writesLeft > 0) {
+            timer.schedule(RETRY_DELAY_MS, () -> write(crashes, writesLeft));
+            return;
+        }
+        events.record(
+                LogEvent.CRASH_EVIDENCE_NOT_SHARED, HashMap.of("reason", String.valueOf(failure)));
+    }
+
     private StoreCommand entries(Set<Crash> crashes, long lease) {
         return new StoreCommand.WriteAll(
                 crashes.toJavaMap(
