Plan pieces with the pieces that fill their call

Cause: the schedule of pieces predicted the end of the first pieces as if their call held no others. A call is filled with the pieces behind them, and ends up to 170 ms later at 65 pieces. The most urgent pieces were taken for on time and were late together. Class of fault: a plan that does not contain the cost of what it lets in. Change: a piece is expected to end with a call of all pending pieces of its data centre, up to the largest call.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/PieceSchedule.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/PieceSchedule.java
@@ -90,12 +90,10 @@
     /** Creates the schedule for the pieces of one service that are pending at the given time. */
     public static PieceSchedule of(
             BatchSpec spec, Iterable<Piece> pending, Capacity capacity, long now) {
-        Planner planner = new Planner(spec, capacity, now);
+        List<List<Piece>> pendingGroups = groupByRequestAndStage(pending);
+        Planner planner = new Planner(spec, capacity, pendingGroups, now);
         List<PieceGroup> plannedGroups =
-                groupByRequestAndStage(pending).stream()
-                        .sorted(BY_PRIORITY_AND_DUE_TIME)
-                        .map(planner::plan)
-                        .toList();
+                pendingGroups.stream().sorted(BY_PRIORITY_AND_DUE_TIME).map(planner::plan).toList();
         Stream<PieceGroup> onTimeGroups = plannedGroups.stream().filter(PieceGroup::onTime);
         Stream<PieceGroup> lateGroups =
                 plannedGroups.stream()
@@ -171,13 +169,20 @@
         private final BatchSpec spec;
         private final Capacity capacity;
         private final long now;
+        private final Map<String, Integer> pendingPiecesIn = new HashMap<>();
         private final Map<String, Integer> plannedPiecesIn = new HashMap<>();
+        private int pendingPieces;
         private int plannedPieces;
 
-        private Planner(BatchSpec spec, Capacity capacity, long now) {
+        private Planner(
+                BatchSpec spec, Capacity capacity, List<List<Piece>> pendingGroups, long now) {
             this.spec = spec;
             this.capacity = capacity;
             this.now = now;
+            for (List<Piece> pieces : pendingGroups) {
+                pendingPiecesIn.merge(pieces.get(0).dataCentre(), pieces.size(), Integer::sum);
+                pendingPieces += pieces.size();
+            }
         }
 
         private PieceGroup plan(List<Piece> pieces) {
@@ -186,6 +191,7 @@
             boolean onTimeInPreferred =
                     expectedEnd(
                                     piecesAhead,
+                                    piecesInCall(preferredDataCentre),
                                     capacity.rateIn(preferredDataCentre),
                                     capacity.hasFreeReplica(preferredDataCentre))
                             <= dueAt(pieces);
@@ -197,6 +203,7 @@
             boolean onTimeElsewhere =
                     expectedEnd(
                                     plannedPieces,
+                                    Math.min(spec.maxPieces(), pendingPieces),
                                     capacity.piecesPerMilli(),
                                     !capacity.freeReplicasByDataCentre().isEmpty())
                             <= dueAt(pieces);
@@ -207,14 +214,26 @@
             return new PieceGroup(pieces, false, pieces.get(0).resultBytes() < LARGE_RESULT_BYTES);
         }
 
+        /**
+         * Returns the number of pieces in a call for a data centre. A call is filled with pieces
+         * that are behind in the queue, which also delay the first ones.
+         */
+        private int piecesInCall(String dataCentre) {
+            return Math.min(
+                    spec.maxPieces(),
+                    capacity.hasReplicas(dataCentre)
+                            ? pendingPiecesIn.get(dataCentre)
+                            : pendingPieces);
+        }
+
         /**
          * Returns the expected completion time of a piece behind others in the queue. A call in
          * progress is assumed to have half of its time left.
          */
-        private double expectedEnd(int piecesAhead, double piecesPerMilli, boolean hasFreeReplica) {
+        private double expectedEnd(
+                int piecesAhead, int piecesInCall, double piecesPerMilli, boolean hasFreeReplica) {
             double wait = hasFreeReplica ? 0 : spec.callOverheadMillis() / 2;
             double queueing = piecesPerMilli > 0 ? piecesAhead / piecesPerMilli : 0;
-            int piecesInCall = Math.min(spec.maxPieces(), piecesAhead + 1);
             return now + wait + queueing + spec.durationMillis(piecesInCall);
         }
     }
