--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/MemoryBoundLoadTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/MemoryBoundLoadTest.java
@@ -133,8 +133,7 @@
                         end,
                         () -> {
                             callsInProgress.merge(name, -1, Integer::sum);
-                            predictor =
-                                    predictor.afterCall(batch.pieces().size(), now);
+                            predictor = predictor.afterCall(batch.pieces().size(), now);
                             for (Piece piece : batch.pieces()) {
                                 if (end <= piece.dueAt()) {
                                     completedOnTime.merge(piece.requestId(), 1, Integer::sum);
