Say in comments what follows when a crash is forgotten and a reader fails

Cause: two comments were narrower than the code: after the time of a crash any number of requests with the part can be sent until the next crash is reported, and the failure of each pending command calls the same method again.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/CrashEvidence.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/CrashEvidence.java
@@ -31,8 +31,8 @@
     public static final long SETTLING_MS = 500;
 
     /**
-     * Time after which a crash is forgotten, in milliseconds. One more request with the part is
-     * then sent to a replica.
+     * Time after which a crash is forgotten, in milliseconds. Requests with the part are then sent
+     * to replicas again, until the next crash under it is reported.
      */
     public static final long TTL_MS = 120_000;
 
@@ -82,7 +82,7 @@
         return new CrashEvidence(crashes.remove(part));
     }
 
-    /** Returns evidence of exactly these crashes; the times of known ones are kept. */
+    /** Returns evidence of exactly the listed crashes; the times of known ones are kept. */
     public CrashEvidence replacedBy(List<Crash> listed, long now) {
         CrashEvidence result = EMPTY;
         for (Crash crash : listed) {
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/relay/RelayedStore.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/relay/RelayedStore.java
@@ -159,7 +159,10 @@
                 });
     }
 
-    /** Gives up all commands that are pending at a reader, once for each of its failures. */
+    /**
+     * Holds a reader off and gives up all commands that are pending there. The failure of any of
+     * these commands calls this method as well and has no further effect.
+     */
     private void readerFailed(String reader, StoreResult failure) {
         Set<CompletableFuture<StoreResult>> pending = pendingByReader.remove(reader);
         if (pending == null) {
