Stop using replicas that announce their shutdown or ask for a pause

Cause: the head of an answer was decoded without either field, for requests and for calls of pieces.

Both are decoded now and kept per replica process, apart from its health. Such a replica is no candidate, also when no other is left; the request is then rejected before its stages are computed, with the time until the first replica accepts requests again as Retry-After. The announcement outlives the registration, so that an older listing does not bring the replica back.

--- a/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
+++ b/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
@@ -42,7 +42,9 @@
     ENDPOINT_ADDED(606, Level.INFO, "endpoint registered"),
     PROMPT_PART_SUSPECTED(607, Level.WARN, "endpoint crashed before it answered a prompt"),
     PROMPT_PART_CLEARED(608, Level.INFO, "prompt part answered; evidence withdrawn"),
-    CRASH_EVIDENCE_NOT_SHARED(609, Level.WARN, "evidence of a crash could not be shared");
+    CRASH_EVIDENCE_NOT_SHARED(609, Level.WARN, "evidence of a crash could not be shared"),
+    ENDPOINT_ANNOUNCED_LEAVING(610, Level.INFO, "endpoint announced its shutdown in an answer"),
+    ENDPOINT_PAUSED(611, Level.INFO, "endpoint asked for no requests for some time");
 
     /** Severity of an event. */
     public enum Level {
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaStatus.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaStatus.java
@@ -18,6 +18,8 @@
     private final AtomicReference<ReplicaHealth> health =
             new AtomicReference<>(ReplicaHealth.HEALTHY);
     private final AtomicReference<LoadReport> lastReport = new AtomicReference<>();
+    private final AtomicReference<ReplicaAvailability> availability =
+            new AtomicReference<>(ReplicaAvailability.AVAILABLE);
 
     /** Counts a request to the replica as in flight until {@link #requestFinished} is called. */
     public void requestStarted() {
@@ -41,6 +43,28 @@
         health.updateAndGet(change);
     }
 
+    public ReplicaAvailability availability() {
+        return availability.get();
+    }
+
+    /**
+     * Records that the replica announced its shutdown.
+     *
+     * @return whether this is the first announcement
+     */
+    public boolean recordLeaving(long now) {
+        return !availability.getAndUpdate(current -> current.afterLeaving(now)).isLeaving();
+    }
+
+    /**
+     * Records that the replica asked for a pause.
+     *
+     * @return whether no pause was in force
+     */
+    public boolean recordPause(long millis, long now) {
+        return !availability.getAndUpdate(current -> current.afterPause(millis, now)).isPaused(now);
+    }
+
     public void recordLoad(ReplicaLoad load, long now) {
         lastReport.set(new LoadReport(load, now, inFlight.get()));
     }
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaStatuses.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaStatuses.java
@@ -1,6 +1,7 @@
 package org.sequoiaspindle.core.coordination.forwarding;
 
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaSelector.Candidate;
@@ -27,9 +28,32 @@
         return statuses.computeIfAbsent(replica.id(), id -> new ReplicaStatus());
     }
 
-    /** Returns the replicas with the load, health and locality that a selection depends on. */
+    /** Returns the replicas that have not announced their shutdown. */
+    public List<Replica> withoutLeaving(List<Replica> replicas) {
+        return replicas.stream()
+                .filter(replica -> !statusOf(replica).availability().isLeaving())
+                .toList();
+    }
+
+    /**
+     * Returns the time until the first of the replicas accepts requests, in milliseconds: 0 if one
+     * does now, and empty if all of them are leaving.
+     */
+    public OptionalLong millisUntilAvailable(List<Replica> replicas, long now) {
+        return replicas.stream()
+                .map(replica -> statusOf(replica).availability())
+                .filter(availability -> !availability.isLeaving())
+                .mapToLong(availability -> Math.max(0, availability.pausedUntil() - now))
+                .min();
+    }
+
+    /**
+     * Returns the replicas that accept requests, with the load, health and locality that a
+     * selection depends on.
+     */
     public List<Candidate> candidates(List<Replica> replicas, long now) {
         return replicas.stream()
+                .filter(replica -> statusOf(replica).availability().acceptsRequests(now))
                 .map(
                         replica -> {
                             ReplicaStatus status = statusOf(replica);
@@ -42,12 +66,16 @@
                 .toList();
     }
 
-    /** Removes the replicas that are not in the table and have no requests in flight. */
-    public void retainOnly(ReplicaTable table) {
+    /**
+     * Removes the replicas that are not in the table and have no requests in flight. What they have
+     * said about themselves is kept for some time.
+     */
+    public void retainOnly(ReplicaTable table, long now) {
         statuses.entrySet()
                 .removeIf(
                         entry ->
                                 !table.contains(entry.getKey())
-                                        && entry.getValue().inFlight() == 0);
+                                        && entry.getValue().inFlight() == 0
+                                        && entry.getValue().availability().isExpired(now));
     }
 }
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RejectionResponse.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RejectionResponse.java
@@ -27,15 +27,22 @@
     /** Retry delay until replicas have registered, or until their ejection has ended. */
     private static final long REPLICA_RETRY_MS = 500;
 
-    public static RejectionResponse of(RejectionReason reason) {
+    /**
+     * Returns the response for a reason.
+     *
+     * @param millisUntilReplica time until a replica of the service accepts requests, as far as the
+     *     replicas have stated it; a client that returns earlier would be rejected again
+     */
+    public static RejectionResponse of(RejectionReason reason, long millisUntilReplica) {
         return switch (reason) {
             case NO_CONFIGURATION, KEYS_UNCONFIRMED -> retryAfter(STORE_RETRY_MS);
             case NO_ROUTE -> new RejectionResponse(404, OptionalLong.empty());
             case UNKNOWN_KEY -> new RejectionResponse(401, OptionalLong.empty());
             case MALFORMED -> new RejectionResponse(400, OptionalLong.empty());
             case BODY_TOO_LARGE -> new RejectionResponse(413, OptionalLong.empty());
-            case NO_REPLICA, STAGE_FAILED -> retryAfter(REPLICA_RETRY_MS);
-            case FULL, TOO_LATE -> retryAfter(FULL_RETRY_MS);
+            case NO_REPLICA, STAGE_FAILED ->
+                    retryAfter(Math.max(REPLICA_RETRY_MS, millisUntilReplica));
+            case FULL, TOO_LATE -> retryAfter(Math.max(FULL_RETRY_MS, millisUntilReplica));
             case HARMFUL_PROMPT -> retryAfter(CrashEvidence.TTL_MS);
             case STOPPING -> retryAfter(OTHER_INSTANCE_RETRY_MS);
             case ANSWER_LOST -> new RejectionResponse(502, OptionalLong.empty());
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/ReplicaResponseHead.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/ReplicaResponseHead.java
@@ -1,6 +1,7 @@
 package org.sequoiaspindle.core.protocol.forwarding;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.sequoiaspindle.core.state.forwarding.ReplicaLoad;
 
 /**
@@ -11,6 +12,9 @@
  * @param notExecuted whether the replica states that it did not execute the request
  * @param load load of the replica
  * @param contentEncoded whether the body has a content encoding, which clients never request
+ * @param leaving whether the replica announces its shutdown
+ * @param retryAfterMillis time for which the replica asks not to receive requests, empty if it does
+ *     not state any
  */
 public record ReplicaResponseHead(
         int status,
@@ -18,11 +22,14 @@
         boolean sealed,
         boolean notExecuted,
         Optional<ReplicaLoad> load,
-        boolean contentEncoded) {
+        boolean contentEncoded,
+        boolean leaving,
+        OptionalLong retryAfterMillis) {
 
     private static final int SUCCESS = 200;
     private static final int REDIRECTION = 300;
     private static final int SERVER_ERROR = 500;
+    private static final int SERVICE_UNAVAILABLE = 503;
 
     public boolean isSuccess() {
         return status >= SUCCESS && status < REDIRECTION;
@@ -31,4 +38,9 @@
     public boolean isServerError() {
         return status >= SERVER_ERROR;
     }
+
+    /** Returns the pause that the replica asks for when it turns a request away. */
+    public OptionalLong pauseMillis() {
+        return status == SERVICE_UNAVAILABLE ? retryAfterMillis : OptionalLong.empty();
+    }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceExecutor.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceExecutor.java
@@ -136,7 +136,7 @@
     private void dispatch() {
         Optional<BatchSpec> spec =
                 registry.configuration().service(service).flatMap(ServiceSpec::batch);
-        List<Replica> replicas = registry.replicas().replicasOf(service);
+        List<Replica> replicas = statuses.withoutLeaving(registry.replicas().replicasOf(service));
         if (spec.isEmpty() || replicas.isEmpty()) {
             failAll(PieceResult.Reason.NO_REPLICA);
             return;
@@ -157,7 +157,7 @@
         }
         lastScheduledAt = clock.now();
         dropUnneededPieces();
-        dropUnservablePieces(spec, schedule(spec, candidates));
+        dropUnservablePieces(spec, schedule(spec, candidates), replicas);
         while (anyFree && !queuedPieces.isEmpty()) {
             Optional<BatchSelection.Batch> batch =
                     BatchSelection.nextBatch(
@@ -222,10 +222,12 @@
     }
 
     /** Drops pieces that cannot complete before their deadlines. */
-    private void dropUnservablePieces(BatchSpec spec, PieceSchedule schedule) {
-        int replicas = registry.replicas().replicasOf(service).size();
+    private void dropUnservablePieces(
+            BatchSpec spec, PieceSchedule schedule, List<Replica> replicas) {
+        long now = clock.now();
+        long firstCallAt = now + statuses.millisUntilAvailable(replicas, now).orElse(0);
         fail(
-                waitPredictor.findUnservable(spec, schedule, replicas, clock.now()).stream()
+                waitPredictor.findUnservable(spec, schedule, replicas.size(), firstCallAt).stream()
                         .map(queuedPieces::get)
                         .toList(),
                 PieceResult.Reason.LATE);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardedRequest.java
@@ -9,9 +9,7 @@
 import java.util.concurrent.TimeUnit;
 import org.sequoiaspindle.core.coordination.forwarding.Admission;
 import org.sequoiaspindle.core.coordination.forwarding.AttemptResult;
-import org.sequoiaspindle.core.coordination.forwarding.PromptAffinityPlacement;
 import org.sequoiaspindle.core.coordination.forwarding.RejectionReason;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaSelector;
 import org.sequoiaspindle.core.coordination.forwarding.RetryPolicy;
 import org.sequoiaspindle.core.coordination.forwarding.StagePlan;
 import org.sequoiaspindle.core.protocol.forwarding.RejectionResponse;
@@ -34,6 +32,7 @@
     private final RequestTrace trace;
     private final Set<ReplicaId> usedIds = new HashSet<>();
     private Admission.Admitted admission;
+    private ReplicaChoice replicaChoice;
     private long deadlineMillis;
     private long stagesEndedAt;
     private ScheduledFuture<?> deadlineTimer;
@@ -117,6 +116,11 @@
             reject(RejectionReason.HARMFUL_PROMPT);
             return;
         }
+        replicaChoice = new ReplicaChoice(context, admission, request.metadata());
+        if (!replicaChoice.isPossible()) {
+            reject(RejectionReason.NO_REPLICA);
+            return;
+        }
         context.retryBudgets().recordRequest(admission.service());
         deadlineMillis =
                 request.receivedAt()
@@ -136,7 +140,10 @@
                                 route(),
                                 request.metadata(),
                                 admission.priority(),
-                                selectReplica().map(Replica::dataCentre).orElse(""),
+                                replicaChoice
+                                        .select(inputBytes, usedIds)
+                                        .map(Replica::dataCentre)
+                                        .orElse(""),
                                 request.receivedAt() + route().objectiveMillis(),
                                 deadlineMillis),
                         this::stagesCompleted,
@@ -170,7 +177,7 @@
             rejectOrFail(RejectionReason.HARMFUL_PROMPT);
             return;
         }
-        Optional<Replica> replica = selectReplica();
+        Optional<Replica> replica = replicaChoice.select(inputBytes, usedIds);
         if (replica.isEmpty()) {
             rejectOrFail(usedIds.isEmpty() ? RejectionReason.NO_REPLICA : RejectionReason.FULL);
             return;
@@ -182,18 +189,6 @@
         currentAttempt.start();
     }
 
-    private Optional<Replica> selectReplica() {
-        List<ReplicaSelector.Candidate> candidates =
-                context.statuses()
-                        .candidates(
-                                context.registry().replicas().replicasOf(admission.service()),
-                                context.clock().now());
-        return route().sticky()
-                ? PromptAffinityPlacement.select(
-                        candidates, request.metadata().promptParts(), inputBytes, usedIds)
-                : ReplicaSelector.LEAST_LOADED.select(candidates, request.metadata().id(), usedIds);
-    }
-
     /** Counts an attempt whose request is about to be sent. */
     void recordSend() {
         sentAttempts++;
@@ -271,7 +266,9 @@
         if (ended) {
             return;
         }
-        RejectionResponse response = RejectionResponse.of(reason);
+        RejectionResponse response =
+                RejectionResponse.of(
+                        reason, replicaChoice == null ? 0 : replicaChoice.millisUntilPossible());
         finish(response.status(), reason.name());
         client.writeResponse(response.status(), RejectionFields.of(response));
     }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContext.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContext.java
@@ -23,7 +23,7 @@
         ForwardingSettings settings,
         Registry registry,
         HttpDialect dialect,
-        ReplicaStatuses statuses,
+        ReplicaAnswerRecorder answerRecorder,
         ServiceRetryBudgets retryBudgets,
         DurationEstimates pieceTimes,
         FirstByteTimeEstimates firstByteTimes,
@@ -47,6 +47,10 @@
      */
     private static final double SEND_AGE_FRACTION = 0.94;
 
+    ReplicaStatuses statuses() {
+        return answerRecorder.statuses();
+    }
+
     /** Returns whether requests with an API key may be accepted. */
     boolean mayAcceptWithKey() {
         return keysConfirmed(ACCEPT_AGE_FRACTION, 0);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -21,7 +21,6 @@
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
-import org.sequoiaspindle.core.common.Timer;
 import org.sequoiaspindle.core.coordination.forwarding.DurationEstimates;
 import org.sequoiaspindle.core.coordination.forwarding.FirstByteTimeEstimates;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatuses;
@@ -106,21 +105,12 @@
         control = workers.get(loops.next());
         registry = new Registry(adapter.layout(), clock, MillisClock.wall(), events);
         Store store = metrics.countStoreCalls(adapter.storeFactory().apply(control.httpClient()));
-        registrySync =
-                closer.register(
-                        new RegistrySync(
-                                settings,
-                                store,
-                                adapter.layout(),
-                                registry,
-                                control.loop(),
-                                newTimer(control.loop()),
-                                clock,
-                                metrics,
-                                events));
+        registrySync = closer.register(newRegistrySync(adapter, store));
         ReplicaStatuses statuses = new ReplicaStatuses(settings.dataCentre());
+        ReplicaAnswerRecorder answerRecorder = new ReplicaAnswerRecorder(statuses, clock, events);
         LocalPieceExecutor localExecutor =
-                new LocalPieceExecutor(service -> newBatchingExecutor(service, statuses, adapter));
+                new LocalPieceExecutor(
+                        service -> newBatchingExecutor(service, answerRecorder, adapter));
         ReplicaHandleReleaser releaser =
                 new ReplicaHandleReleaser(
                         control, adapter.stages(), registry, localExecutor::resultsReleased);
@@ -135,7 +125,7 @@
                         new ResultLocator(adapter.stages(), registry),
                         clock,
                         events);
-        context = newContext(adapter, statuses, pieceExecutor, newCrashReporter(store));
+        context = newContext(adapter, answerRecorder, pieceExecutor, newCrashReporter(store));
     }
 
     /**
@@ -261,7 +251,7 @@
 
     private void runChecks() {
         connections.enforceTimeouts(registry.configuration().limits());
-        context.statuses().retainOnly(registry.replicas());
+        context.statuses().retainOnly(registry.replicas(), clock.now());
     }
 
     private boolean isReady() {
@@ -281,6 +271,19 @@
         return new HostPort(bound.getAddress().getHostAddress(), bound.getPort());
     }
 
+    private RegistrySync newRegistrySync(Adapter adapter, Store store) {
+        return new RegistrySync(
+                settings,
+                store,
+                adapter.layout(),
+                registry,
+                control.loop(),
+                control.timer(),
+                clock,
+                metrics,
+                events);
+    }
+
     private EventLoopWorker newWorker(EventLoop loop) {
         ConnectionPool pool = new ConnectionPool(loop, NioSocketChannel.class, clock);
         return new EventLoopWorker(loop, pool, new HttpCallClient(loop, pool));
@@ -288,7 +291,7 @@
 
     private ForwardingContext newContext(
             Adapter adapter,
-            ReplicaStatuses statuses,
+            ReplicaAnswerRecorder answerRecorder,
             DistributedPieceExecutor pieceExecutor,
             CrashReporter crashReporter) {
         ForwardingSettings.RetryLimits limits = settings.retryLimits();
@@ -296,7 +299,7 @@
                 settings,
                 registry,
                 adapter.dialect(),
-                statuses,
+                answerRecorder,
                 new ServiceRetryBudgets(
                         new ServiceRetryBudgets.Limits(
                                 limits.ratio(), limits.windowMillis(), limits.slack()),
@@ -315,27 +318,20 @@
 
     private CrashReporter newCrashReporter(Store store) {
         return new CrashReporter(
-                registry,
-                store,
-                new ReplicaConnectionCheck(control),
-                newTimer(control.loop()),
-                events);
+                registry, store, new ReplicaConnectionCheck(control), control.timer(), events);
     }
 
     private BatchingPieceExecutor newBatchingExecutor(
-            String service, ReplicaStatuses statuses, Adapter adapter) {
+            String service, ReplicaAnswerRecorder answerRecorder, Adapter adapter) {
         EventLoopWorker worker = workers.get(loops.next());
         ReplicaPieceClient pieceClient =
                 new ReplicaPieceClient(
-                        worker.httpClient(), statuses, adapter.dialect(), adapter.stages(), clock);
+                        worker.httpClient(),
+                        answerRecorder,
+                        adapter.dialect(),
+                        adapter.stages(),
+                        clock);
         return new BatchingPieceExecutor(
-                service, worker, registry, statuses, pieceClient, clock, events);
-    }
-
-    private static Timer newTimer(EventLoop loop) {
-        return (delayMillis, task) -> {
-            var scheduled = loop.schedule(task, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
-            return () -> scheduled.cancel(false);
-        };
+                service, worker, registry, answerRecorder.statuses(), pieceClient, clock, events);
     }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
@@ -168,8 +168,7 @@
                 !HttpUtil.isContentLengthSet(response)
                         && !HttpUtil.isTransferEncodingChunked(response);
         responseFields = HeaderFilter.copyEndToEnd(response.headers(), Set.of());
-        long now = forwardedRequest.context().clock().now();
-        responseHead.load().ifPresent(load -> replicaStatus.recordLoad(load, now));
+        forwardedRequest.context().answerRecorder().record(replica, responseHead);
         if (responseHead.contentEncoded() || (responseHead.isSuccess() && !responseHead.sealed())) {
             connection.abort();
             failed("response without signature or with a content encoding");
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaChoice.java
@@ -0,0 +1,49 @@
+package org.sequoiaspindle.daemon.transport.forwarding;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.sequoiaspindle.core.coordination.forwarding.Admission;
+import org.sequoiaspindle.core.coordination.forwarding.PromptAffinityPlacement;
+import org.sequoiaspindle.core.coordination.forwarding.ReplicaSelector;
+import org.sequoiaspindle.core.state.forwarding.Replica;
+import org.sequoiaspindle.core.state.forwarding.ReplicaId;
+import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
+
+/** Chooses the replica for an admitted request. Stateless. */
+record ReplicaChoice(
+        ForwardingContext context, Admission.Admitted admission, RequestMetadata metadata) {
+
+    /** Returns whether any replica of the service accepts requests. */
+    boolean isPossible() {
+        return !candidates().isEmpty();
+    }
+
+    /**
+     * Selects a replica.
+     *
+     * @param inputBytes total size of the request's inputs in each data centre
+     * @param excludedReplicas replicas that this request has already been sent to
+     */
+    Optional<Replica> select(Map<String, Long> inputBytes, Set<ReplicaId> excludedReplicas) {
+        return admission.route().sticky()
+                ? PromptAffinityPlacement.select(
+                        candidates(), metadata.promptParts(), inputBytes, excludedReplicas)
+                : ReplicaSelector.LEAST_LOADED.select(
+                        candidates(), metadata.id(), excludedReplicas);
+    }
+
+    /** Returns the time until a replica of the service accepts requests, 0 if not known. */
+    long millisUntilPossible() {
+        return context.statuses().millisUntilAvailable(replicas(), context.clock().now()).orElse(0);
+    }
+
+    private List<ReplicaSelector.Candidate> candidates() {
+        return context.statuses().candidates(replicas(), context.clock().now());
+    }
+
+    private List<Replica> replicas() {
+        return context.registry().replicas().replicasOf(admission.service());
+    }
+}
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClient.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClient.java
@@ -6,8 +6,6 @@
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.coordination.forwarding.BatchSelection;
 import org.sequoiaspindle.core.coordination.forwarding.PieceCallTimeout;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatus;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatuses;
 import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
 import org.sequoiaspindle.core.protocol.forwarding.PieceResult;
 import org.sequoiaspindle.core.protocol.forwarding.ReplicaResponseHead;
@@ -20,7 +18,7 @@
 final class ReplicaPieceClient {
 
     private final HttpCallClient client;
-    private final ReplicaStatuses statuses;
+    private final ReplicaAnswerRecorder answerRecorder;
     private final HttpDialect dialect;
     private final StageCodec codec;
     private final MillisClock clock;
@@ -42,12 +40,12 @@
 
     ReplicaPieceClient(
             HttpCallClient client,
-            ReplicaStatuses statuses,
+            ReplicaAnswerRecorder answerRecorder,
             HttpDialect dialect,
             StageCodec codec,
             MillisClock clock) {
         this.client = client;
-        this.statuses = statuses;
+        this.answerRecorder = answerRecorder;
         this.dialect = dialect;
         this.codec = codec;
         this.clock = clock;
@@ -81,10 +79,9 @@
     }
 
     private Outcome readResponse(BatchSelection.Batch batch, HttpCallClient.Response response) {
-        ReplicaStatus status = statuses.statusOf(batch.replica());
         ReplicaResponseHead responseHead =
                 dialect.responseReader().read(response.status(), response.field());
-        responseHead.load().ifPresent(load -> status.recordLoad(load, clock.now()));
+        answerRecorder.record(batch.replica(), responseHead);
         if (responseHead.notExecuted()) {
             return new Busy();
         }
--- a/standins/src/main/java/org/sequoiaspindle/standins/protocol/ReplicaFrontEnd.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/protocol/ReplicaFrontEnd.java
@@ -24,8 +24,12 @@
     private static final String ATTEMPT_ID_HEADER = "x-sequoiaspindle-attempt-id";
     private static final String EXPECTED_INSTANCE_HEADER = "x-sequoiaspindle-expect-instance";
     private static final String NOT_EXECUTED_HEADER = "X-Sequoiaspindle-Not-Executed";
+    private static final String LEAVING_HEADER = "Server-Leaving";
     private static final int EVENTS_PER_STREAM = 3;
 
+    /** Time for which a paused replica asks for no requests, in seconds. */
+    private static final String PAUSE_SECONDS = "2.5";
+
     /**
      * Time from the first event of a truncated stream to the close of the connection, in
      * milliseconds.
@@ -38,6 +42,7 @@
     private final AtomicReference<ReplicaFault> fault = new AtomicReference<>(ReplicaFault.NONE);
     private final AtomicReference<FatalPart> fatalPart = new AtomicReference<>();
     private final List<FullRequest> executedRequests = new CopyOnWriteArrayList<>();
+    private final AtomicLong pausedRequestCount = new AtomicLong();
     private final AtomicLong pieceCallCount = new AtomicLong();
     private final AtomicLong abandonedRequestCount = new AtomicLong();
     private final AtomicLong lastHandleNumber = new AtomicLong();
@@ -86,6 +91,11 @@
         return abandonedRequestCount.get();
     }
 
+    /** Returns the number of requests that were rejected with a request for a pause. */
+    public long pausedRequestCount() {
+        return pausedRequestCount.get();
+    }
+
     /** Returns the number of stage calls, each of which may produce several pieces. */
     public long pieceCallCount() {
         return pieceCallCount.get();
@@ -121,6 +131,11 @@
             responder.send(FullResponse.empty(503).withHeader(NOT_EXECUTED_HEADER, "1"));
             return;
         }
+        if (mode == ReplicaFault.PAUSED) {
+            pausedRequestCount.incrementAndGet();
+            responder.send(pausedResponse());
+            return;
+        }
         // Set before the request is recorded, so that an immediate disconnect is also counted.
         responder.onDisconnect(abandonedRequestCount::incrementAndGet);
         executedRequests.add(request);
@@ -142,6 +157,10 @@
             case SILENT -> {
                 // The client gets no response and closes the connection.
             }
+            case LEAVING ->
+                    responder.send(
+                            sealed(200, request, responseBody(request))
+                                    .withHeader(LEAVING_HEADER, "1"));
             case UNSEALED ->
                     responder.send(FullResponse.bytes(ImmutableBytes.of(responseBody(request))));
             case FOREIGN_ANSWER ->
@@ -176,11 +195,25 @@
 
     private void makePieces(FullRequest request, HttpResponder responder) {
         pieceCallCount.incrementAndGet();
+        if (fault.get() == ReplicaFault.PAUSED) {
+            responder.send(pausedResponse());
+            return;
+        }
         List<Map<String, String>> items = new ArrayList<>();
         for (JsonNode item : StandinJson.parse(request.body().toUtf8String()).path("items")) {
             items.add(makePiece(item));
         }
-        responder.send(FullResponse.json(200, Map.of("items", items)));
+        FullResponse response = FullResponse.json(200, Map.of("items", items));
+        responder.send(
+                fault.get() == ReplicaFault.LEAVING
+                        ? response.withHeader(LEAVING_HEADER, "1")
+                        : response);
+    }
+
+    private static FullResponse pausedResponse() {
+        return FullResponse.empty(503)
+                .withHeader(NOT_EXECUTED_HEADER, "1")
+                .withHeader("Retry-After", PAUSE_SECONDS);
     }
 
     private Map<String, String> makePiece(JsonNode item) {
--- a/standins/src/main/java/org/sequoiaspindle/standins/state/ReplicaFault.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/state/ReplicaFault.java
@@ -18,5 +18,9 @@
     /** Sends a response with the attempt id of another request. */
     FOREIGN_ANSWER,
     /** Produces no pieces because the replica has no memory for results. */
-    NO_ROOM
+    NO_ROOM,
+    /** Answers as usual and announces its shutdown in every answer. */
+    LEAVING,
+    /** Rejects requests and calls of pieces, and asks not to receive any for some time. */
+    PAUSED
 }
