Keep pending pieces in the order of the schedule

Cause: the instance that batches a service grouped and sorted its whole queue for each decision, two or three times. With 1,600 pieces waiting it sent half of the calls that its replicas could have made, and saw them end up to 0.6 s late, so the queue grew because it was long.

The queue is now kept grouped and in order, a schedule takes one pass over the groups, and it is made again only if pieces were dropped or sent.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/BatchSelection.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/BatchSelection.java
@@ -76,6 +76,9 @@
         long freeBytes = spec.resultMemoryBytes() - usedBytes.applyAsLong(replica.id());
         List<Piece> selectedPieces = new ArrayList<>();
         for (List<Piece> group : groups) {
+            if (selectedPieces.size() == spec.maxPieces()) {
+                break;
+            }
             long bytes = group.stream().mapToLong(Piece::resultBytes).sum();
             boolean fits =
                     selectedPieces.size() + group.size() <= spec.maxPieces() && bytes <= freeBytes;
--- /dev/null
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/PieceQueue.java
@@ -0,0 +1,108 @@
+package org.sequoiaspindle.core.coordination.forwarding;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/**
+ * Pending pieces of one service, grouped by request and stage. The groups are kept in the order in
+ * which capacity is allocated to them, so that a schedule needs one pass over the queue and a
+ * backlog does not make each decision slower than the calls that it plans. Not thread-safe.
+ */
+public final class PieceQueue {
+
+    /** Pending pieces of one request and stage; the request needs all of them. Immutable. */
+    record Group(GroupId id, int priority, long dueAt, List<Piece> pieces) {
+
+        Piece first() {
+            return pieces.get(0);
+        }
+
+        private Group withPieces(List<Piece> newPieces) {
+            return new Group(id, priority, dueAt, List.copyOf(newPieces));
+        }
+    }
+
+    private record GroupId(String requestId, int stage) {
+
+        private static GroupId of(Piece piece) {
+            return new GroupId(piece.requestId(), piece.stage());
+        }
+    }
+
+    private static final Comparator<Piece> BY_NUMBER = Comparator.comparingInt(Piece::number);
+
+    private final Map<GroupId, Group> groupsById = new HashMap<>();
+    private final TreeSet<Group> groups = new TreeSet<>(PieceQueue::compare);
+
+    /** Creates a queue that contains the given pieces. */
+    public static PieceQueue of(Iterable<Piece> pieces) {
+        PieceQueue queue = new PieceQueue();
+        pieces.forEach(queue::add);
+        return queue;
+    }
+
+    /** Adds a piece. Equal pieces are kept beside each other. */
+    public void add(Piece piece) {
+        GroupId id = GroupId.of(piece);
+        Group group = groupsById.get(id);
+        if (group == null) {
+            put(new Group(id, piece.priority(), piece.dueAt(), List.of(piece)));
+            return;
+        }
+        List<Piece> pieces = new ArrayList<>(group.pieces());
+        pieces.add(piece);
+        pieces.sort(BY_NUMBER);
+        replace(group, pieces);
+    }
+
+    /** Removes a piece, which is identified by reference. */
+    public void remove(Piece piece) {
+        Group group = groupsById.get(GroupId.of(piece));
+        if (group == null) {
+            return;
+        }
+        List<Piece> pieces = new ArrayList<>(group.pieces());
+        pieces.removeIf(pending -> pending == piece);
+        replace(group, pieces);
+    }
+
+    public boolean isEmpty() {
+        return groups.isEmpty();
+    }
+
+    /** Returns a view of the groups, in order of priority and due time. */
+    Collection<Group> groups() {
+        return Collections.unmodifiableCollection(groups);
+    }
+
+    private void replace(Group group, List<Piece> pieces) {
+        groups.remove(group);
+        groupsById.remove(group.id());
+        if (!pieces.isEmpty()) {
+            put(group.withPieces(pieces));
+        }
+    }
+
+    private void put(Group group) {
+        groupsById.put(group.id(), group);
+        groups.add(group);
+    }
+
+    /** Compares by priority and due time; the other criteria only break ties. */
+    private static int compare(Group a, Group b) {
+        if (a.priority() != b.priority()) {
+            return Integer.compare(a.priority(), b.priority());
+        }
+        if (a.dueAt() != b.dueAt()) {
+            return Long.compare(a.dueAt(), b.dueAt());
+        }
+        int byRequest = a.id().requestId().compareTo(b.id().requestId());
+        return byRequest != 0 ? byRequest : Integer.compare(a.id().stage(), b.id().stage());
+    }
+}
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/PieceSchedule.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/PieceSchedule.java
@@ -1,14 +1,9 @@
 package org.sequoiaspindle.core.coordination.forwarding;
 
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.Predicate;
-import java.util.stream.Collectors;
-import java.util.stream.Stream;
 import org.sequoiaspindle.core.state.forwarding.BatchSpec;
 
 /**
@@ -57,63 +52,66 @@
     }
 
     /**
-     * All pending pieces of one request and stage; the request needs all of them.
+     * A group of the queue.
      *
      * @param onTime whether the capacity suffices to complete the pieces by their due time
      * @param mayRunElsewhere whether the pieces may be computed outside their preferred data centre
      */
-    private record PieceGroup(List<Piece> pieces, boolean onTime, boolean mayRunElsewhere) {
+    private record PlannedGroup(PieceQueue.Group group, boolean onTime, boolean mayRunElsewhere) {
+
+        private List<Piece> pieces() {
+            return group.pieces();
+        }
 
         private Piece first() {
-            return pieces.get(0);
+            return group.first();
         }
     }
 
-    /** Order in which capacity is allocated. Ties are broken in the same way on every call. */
-    private static final Comparator<List<Piece>> BY_PRIORITY_AND_DUE_TIME =
-            Comparator.comparingInt((List<Piece> pieces) -> pieces.get(0).priority())
-                    .thenComparingLong(PieceSchedule::dueAt)
-                    .thenComparing(pieces -> pieces.get(0).requestId());
-
-    private static final Comparator<PieceGroup> BY_PRIORITY_AND_DEADLINE =
-            Comparator.comparingInt((PieceGroup group) -> group.first().priority())
-                    .thenComparingLong(group -> group.first().deadlineAt());
-
-    private final List<PieceGroup> groups;
+    private final List<PlannedGroup> onTimeGroups;
+    private final List<PlannedGroup> lateGroups;
     private final Capacity capacity;
 
-    private PieceSchedule(List<PieceGroup> groups, Capacity capacity) {
-        this.groups = groups;
+    private PieceSchedule(
+            List<PlannedGroup> onTimeGroups, List<PlannedGroup> lateGroups, Capacity capacity) {
+        this.onTimeGroups = onTimeGroups;
+        this.lateGroups = lateGroups;
         this.capacity = capacity;
     }
 
     /** Creates the schedule for the pieces of one service that are pending at the given time. */
-    public static PieceSchedule of(
-            BatchSpec spec, Iterable<Piece> pending, Capacity capacity, long now) {
-        List<List<Piece>> pendingGroups = groupByRequestAndStage(pending);
-        Planner planner = new Planner(spec, capacity, pendingGroups, now);
-        List<PieceGroup> plannedGroups =
-                pendingGroups.stream().sorted(BY_PRIORITY_AND_DUE_TIME).map(planner::plan).toList();
-        Stream<PieceGroup> onTimeGroups = plannedGroups.stream().filter(PieceGroup::onTime);
-        Stream<PieceGroup> lateGroups =
-                plannedGroups.stream()
-                        .filter(group -> !group.onTime())
-                        .sorted(BY_PRIORITY_AND_DEADLINE);
-        return new PieceSchedule(Stream.concat(onTimeGroups, lateGroups).toList(), capacity);
+    public static PieceSchedule of(BatchSpec spec, PieceQueue queue, Capacity capacity, long now) {
+        Planner planner = new Planner(spec, capacity, queue, now);
+        List<PlannedGroup> onTimeGroups = new ArrayList<>();
+        List<PlannedGroup> lateGroups = new ArrayList<>();
+        for (PieceQueue.Group group : queue.groups()) {
+            PlannedGroup planned = planner.plan(group);
+            (planned.onTime() ? onTimeGroups : lateGroups).add(planned);
+        }
+        lateGroups.sort(PieceSchedule::compareByPriorityAndDeadline);
+        return new PieceSchedule(onTimeGroups, lateGroups, capacity);
+    }
+
+    private static int compareByPriorityAndDeadline(PlannedGroup a, PlannedGroup b) {
+        return a.group().priority() != b.group().priority()
+                ? Integer.compare(a.group().priority(), b.group().priority())
+                : Long.compare(a.first().deadlineAt(), b.first().deadlineAt());
     }
 
     /** Returns the pieces that can complete by their due time, the most urgent first. */
     public List<Piece> onTimePieces() {
-        return pieces(PieceGroup::onTime);
+        return pieces(onTimeGroups);
     }
 
     /** Returns the pieces that cannot complete by their due time, the earliest deadline first. */
     public List<Piece> latePieces() {
-        return pieces(group -> !group.onTime());
+        return pieces(lateGroups);
     }
 
-    private List<Piece> pieces(Predicate<PieceGroup> filter) {
-        return groups.stream().filter(filter).flatMap(group -> group.pieces().stream()).toList();
+    private static List<Piece> pieces(List<PlannedGroup> groups) {
+        List<Piece> pieces = new ArrayList<>();
+        groups.forEach(group -> pieces.addAll(group.pieces()));
+        return pieces;
     }
 
     /**
@@ -121,7 +119,8 @@
      * no preference.
      */
     public String mostUrgentDataCentre() {
-        return groups.isEmpty() ? "" : groups.get(0).first().dataCentre();
+        List<PlannedGroup> mostUrgent = onTimeGroups.isEmpty() ? lateGroups : onTimeGroups;
+        return mostUrgent.isEmpty() ? "" : mostUrgent.get(0).first().dataCentre();
     }
 
     /**
@@ -130,75 +129,64 @@
      * that prefer the data centre come first.
      */
     public List<List<Piece>> eligibleGroups(String dataCentre) {
-        Comparator<PieceGroup> onTimeAndLocalFirst =
-                Comparator.comparing((PieceGroup group) -> !group.onTime())
-                        .thenComparing(group -> !isLocalTo(group, dataCentre));
-        return groups.stream()
-                .filter(group -> isLocalTo(group, dataCentre) || group.mayRunElsewhere())
-                .sorted(onTimeAndLocalFirst)
-                .map(PieceGroup::pieces)
-                .toList();
+        List<List<Piece>> eligible = new ArrayList<>();
+        for (List<PlannedGroup> groups : List.of(onTimeGroups, lateGroups)) {
+            List<List<Piece>> fromElsewhere = new ArrayList<>();
+            for (PlannedGroup group : groups) {
+                if (isLocalTo(group, dataCentre)) {
+                    eligible.add(group.pieces());
+                } else if (group.mayRunElsewhere()) {
+                    fromElsewhere.add(group.pieces());
+                }
+            }
+            eligible.addAll(fromElsewhere);
+        }
+        return eligible;
     }
 
-    private boolean isLocalTo(PieceGroup group, String dataCentre) {
+    private boolean isLocalTo(PlannedGroup group, String dataCentre) {
         String preferredDataCentre = group.first().dataCentre();
         return preferredDataCentre.equals(dataCentre) || !capacity.hasReplicas(preferredDataCentre);
     }
 
-    private static long dueAt(List<Piece> pieces) {
-        return pieces.get(0).dueAt();
-    }
-
-    private static List<List<Piece>> groupByRequestAndStage(Iterable<Piece> pending) {
-        List<Piece> pieces = new ArrayList<>();
-        pending.forEach(pieces::add);
-        pieces.sort(Comparator.comparingInt(Piece::number));
-        return List.copyOf(
-                pieces.stream()
-                        .collect(
-                                Collectors.groupingBy(
-                                        piece -> piece.requestId() + "/" + piece.stage(),
-                                        LinkedHashMap::new,
-                                        Collectors.toList()))
-                        .values());
-    }
-
     /** Allocates the capacity to groups in the order of their due times. */
     private static final class Planner {
 
         private final BatchSpec spec;
         private final Capacity capacity;
         private final long now;
-        private final Map<String, Integer> pendingPiecesIn = new HashMap<>();
-        private final Map<String, Integer> plannedPiecesIn = new HashMap<>();
+        private final Map<String, DataCentreLoad> loads = new HashMap<>();
         private int pendingPieces;
         private int plannedPieces;
 
-        private Planner(
-                BatchSpec spec, Capacity capacity, List<List<Piece>> pendingGroups, long now) {
+        private Planner(BatchSpec spec, Capacity capacity, PieceQueue queue, long now) {
             this.spec = spec;
             this.capacity = capacity;
             this.now = now;
-            for (List<Piece> pieces : pendingGroups) {
-                pendingPiecesIn.merge(pieces.get(0).dataCentre(), pieces.size(), Integer::sum);
-                pendingPieces += pieces.size();
+            for (PieceQueue.Group group : queue.groups()) {
+                loadOf(group.first().dataCentre()).pendingPieces += group.pieces().size();
+                pendingPieces += group.pieces().size();
             }
         }
 
-        private PieceGroup plan(List<Piece> pieces) {
-            String preferredDataCentre = pieces.get(0).dataCentre();
-            int piecesAhead = plannedPiecesIn.getOrDefault(preferredDataCentre, 0);
+        private DataCentreLoad loadOf(String dataCentre) {
+            return loads.computeIfAbsent(dataCentre, name -> new DataCentreLoad(name, capacity));
+        }
+
+        private PlannedGroup plan(PieceQueue.Group group) {
+            int size = group.pieces().size();
+            DataCentreLoad load = loadOf(group.first().dataCentre());
             boolean onTimeInPreferred =
                     expectedEnd(
-                                    piecesAhead,
-                                    piecesInCall(preferredDataCentre),
-                                    capacity.rateIn(preferredDataCentre),
-                                    capacity.hasFreeReplica(preferredDataCentre))
-                            <= dueAt(pieces);
+                                    load.plannedPieces,
+                                    piecesInCall(load),
+                                    load.piecesPerMilli,
+                                    load.hasFreeReplica)
+                            <= group.dueAt();
             if (onTimeInPreferred) {
-                plannedPiecesIn.merge(preferredDataCentre, pieces.size(), Integer::sum);
-                plannedPieces += pieces.size();
-                return new PieceGroup(pieces, true, false);
+                load.plannedPieces += size;
+                plannedPieces += size;
+                return new PlannedGroup(group, true, false);
             }
             boolean onTimeElsewhere =
                     expectedEnd(
@@ -206,24 +194,21 @@
                                     Math.min(spec.maxPieces(), pendingPieces),
                                     capacity.piecesPerMilli(),
                                     !capacity.freeReplicasByDataCentre().isEmpty())
-                            <= dueAt(pieces);
+                            <= group.dueAt();
             if (onTimeElsewhere) {
-                plannedPieces += pieces.size();
-                return new PieceGroup(pieces, true, true);
+                plannedPieces += size;
+                return new PlannedGroup(group, true, true);
             }
-            return new PieceGroup(pieces, false, pieces.get(0).resultBytes() < LARGE_RESULT_BYTES);
+            return new PlannedGroup(group, false, group.first().resultBytes() < LARGE_RESULT_BYTES);
         }
 
         /**
          * Returns the number of pieces in a call for a data centre. A call is filled with pieces
          * that are behind in the queue, which also delay the first ones.
          */
-        private int piecesInCall(String dataCentre) {
+        private int piecesInCall(DataCentreLoad load) {
             return Math.min(
-                    spec.maxPieces(),
-                    capacity.hasReplicas(dataCentre)
-                            ? pendingPiecesIn.get(dataCentre)
-                            : pendingPieces);
+                    spec.maxPieces(), load.hasReplicas ? load.pendingPieces : pendingPieces);
         }
 
         /**
@@ -237,4 +222,20 @@
             return now + wait + queueing + spec.durationMillis(piecesInCall);
         }
     }
+
+    /** Capacity of one data centre and the pieces that prefer it. */
+    private static final class DataCentreLoad {
+
+        private final boolean hasReplicas;
+        private final boolean hasFreeReplica;
+        private final double piecesPerMilli;
+        private int pendingPieces;
+        private int plannedPieces;
+
+        private DataCentreLoad(String dataCentre, Capacity capacity) {
+            hasReplicas = capacity.hasReplicas(dataCentre);
+            hasFreeReplica = capacity.hasFreeReplica(dataCentre);
+            piecesPerMilli = capacity.rateIn(dataCentre);
+        }
+    }
 }
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/BatchSelectionTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/BatchSelectionTest.java
@@ -103,7 +103,10 @@
     private static PieceSchedule schedule(BatchSpec spec, List<Piece> pending) {
         Map<String, Integer> oneReplica = Map.of("a", 1);
         return PieceSchedule.of(
-                spec, pending, new PieceSchedule.Capacity(1, oneReplica, oneReplica), NOW);
+                spec,
+                PieceQueue.of(pending),
+                new PieceSchedule.Capacity(1, oneReplica, oneReplica),
+                NOW);
     }
 
     private static String replicaName(Optional<BatchSelection.Batch> batch) {
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/MemoryBoundLoadTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/MemoryBoundLoadTest.java
@@ -148,7 +148,7 @@
                 (int) candidates.stream().filter(c -> BatchSelection.hasFreeSlot(SPEC, c)).count();
         return PieceSchedule.of(
                 SPEC,
-                pending,
+                PieceQueue.of(pending),
                 new PieceSchedule.Capacity(
                         predictor.piecesPerMilli(SPEC, REPLICAS, now),
                         Map.of("a", REPLICAS),
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/PieceScheduleTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/PieceScheduleTest.java
@@ -150,7 +150,7 @@
     }
 
     private static PieceSchedule schedule(List<Piece> pieces, PieceSchedule.Capacity capacity) {
-        return PieceSchedule.of(SPEC, pieces, capacity, NOW);
+        return PieceSchedule.of(SPEC, PieceQueue.of(pieces), capacity, NOW);
     }
 
     private static PieceSchedule.Capacity capacity(Map<String, Integer> free) {
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/QueueWaitPredictorTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/QueueWaitPredictorTest.java
@@ -90,6 +90,9 @@
                         .toList();
         Map<String, Integer> oneReplica = Map.of("a", 1);
         return PieceSchedule.of(
-                SPEC, pieces, new PieceSchedule.Capacity(1, oneReplica, oneReplica), NOW);
+                SPEC,
+                PieceQueue.of(pieces),
+                new PieceSchedule.Capacity(1, oneReplica, oneReplica),
+                NOW);
     }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceExecutor.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceExecutor.java
@@ -3,7 +3,6 @@
 import io.vavr.collection.LinkedHashMap;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -30,6 +29,7 @@
 import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.core.state.forwarding.ReplicaId;
 import org.sequoiaspindle.core.state.forwarding.ServiceSpec;
+import org.sequoiaspindle.daemon.transport.forwarding.PendingPieces.PendingPiece;
 
 /**
  * Queues the pieces of one service and sends them to replicas in batches. Its state is confined to
@@ -43,10 +43,6 @@
     /** Maximum interval at which a queue with pieces is processed, in milliseconds. */
     private static final long RECHECK_INTERVAL_MS = 25;
 
-    /** A queued or executing piece, with the future that receives the result. */
-    private record PendingPiece(
-            Piece piece, BooleanSupplier isNeeded, CompletableFuture<PieceResult> result) {}
-
     private final String service;
     private final EventLoopWorker worker;
     private final Registry registry;
@@ -55,9 +51,7 @@
     private final MillisClock clock;
     private final EventLog events;
 
-    /** Queued pieces, by identity because each of several equal pieces needs a result. */
-    private final Map<Piece, PendingPiece> queuedPieces = new IdentityHashMap<>();
-
+    private final PendingPieces queuedPieces = new PendingPieces();
     private final ResultMemoryTracker resultMemory = new ResultMemoryTracker();
 
     /** Time until which a replica that rejected a call for lack of capacity counts as busy. */
@@ -96,7 +90,7 @@
         worker.loop()
                 .execute(
                         () -> {
-                            enqueue(pending);
+                            queuedPieces.addAll(pending);
                             dispatchSoon();
                         });
         return pending.stream().<CompletionStage<PieceResult>>map(PendingPiece::result).toList();
@@ -138,7 +132,7 @@
                 registry.configuration().service(service).flatMap(ServiceSpec::batch);
         List<Replica> replicas = statuses.withoutLeaving(registry.replicas().replicasOf(service));
         if (spec.isEmpty() || replicas.isEmpty()) {
-            failAll(PieceResult.Reason.NO_REPLICA);
+            queuedPieces.failAll(PieceResult.Reason.NO_REPLICA);
             return;
         }
         dispatch(spec.get(), replicas);
@@ -150,19 +144,32 @@
 
     private void dispatch(BatchSpec spec, List<Replica> replicas) {
         List<Candidate> candidates = candidates(spec, replicas);
-        boolean anyFree = candidates.stream().anyMatch(c -> BatchSelection.hasFreeSlot(spec, c));
-        // Without a free replica the schedule only identifies pieces to drop; sorting is costly.
-        if (!anyFree && clock.now() - lastScheduledAt < RECHECK_INTERVAL_MS) {
+        // Without a free replica the schedule only identifies pieces to drop.
+        if (!hasFreeReplica(spec, candidates)
+                && clock.now() - lastScheduledAt < RECHECK_INTERVAL_MS) {
             return;
         }
         lastScheduledAt = clock.now();
-        dropUnneededPieces();
-        dropUnservablePieces(spec, schedule(spec, candidates), replicas);
-        while (anyFree && !queuedPieces.isEmpty()) {
+        queuedPieces.dropUnneeded();
+        PieceSchedule schedule = schedule(spec, candidates);
+        if (dropUnservablePieces(spec, schedule, replicas)) {
+            schedule = schedule(spec, candidates);
+        }
+        sendBatches(spec, replicas, candidates, schedule);
+    }
+
+    private void sendBatches(
+            BatchSpec spec,
+            List<Replica> replicas,
+            List<Candidate> initialCandidates,
+            PieceSchedule initialSchedule) {
+        List<Candidate> candidates = initialCandidates;
+        PieceSchedule schedule = initialSchedule;
+        while (!queuedPieces.isEmpty() && hasFreeReplica(spec, candidates)) {
             Optional<BatchSelection.Batch> batch =
                     BatchSelection.nextBatch(
                             spec,
-                            schedule(spec, candidates),
+                            schedule,
                             candidates,
                             replica -> resultMemory.usedBytes(replica, clock.now()));
             if (batch.isEmpty()) {
@@ -170,9 +177,16 @@
             }
             send(spec, batch.get());
             candidates = candidates(spec, replicas);
+            if (hasFreeReplica(spec, candidates)) {
+                schedule = schedule(spec, candidates);
+            }
         }
     }
 
+    private static boolean hasFreeReplica(BatchSpec spec, List<Candidate> candidates) {
+        return candidates.stream().anyMatch(c -> BatchSelection.hasFreeSlot(spec, c));
+    }
+
     /**
      * Returns the replicas with the number of this instance's calls in flight as the load. Calls of
      * other instances become known only when a replica rejects a call.
@@ -204,7 +218,7 @@
                                 usableCandidates.stream()
                                         .filter(c -> BatchSelection.hasFreeSlot(spec, c))
                                         .toList()));
-        return PieceSchedule.of(spec, queuedPieces.keySet(), capacity, clock.now());
+        return PieceSchedule.of(spec, queuedPieces.queue(), capacity, clock.now());
     }
 
     private static Map<String, Integer> countByDataCentre(List<Candidate> candidates) {
@@ -212,41 +226,23 @@
                 .collect(Collectors.toMap(c -> c.replica().dataCentre(), c -> 1, Integer::sum));
     }
 
-    /** Drops pieces that are not needed any more. */
-    private void dropUnneededPieces() {
-        fail(
-                queuedPieces.values().stream()
-                        .filter(pendingPiece -> !pendingPiece.isNeeded().getAsBoolean())
-                        .toList(),
-                PieceResult.Reason.LATE);
-    }
-
-    /** Drops pieces that cannot complete before their deadlines. */
-    private void dropUnservablePieces(
+    /**
+     * Drops pieces that cannot complete before their deadlines.
+     *
+     * @return whether there were any
+     */
+    private boolean dropUnservablePieces(
             BatchSpec spec, PieceSchedule schedule, List<Replica> replicas) {
         long now = clock.now();
         long firstCallAt = now + statuses.millisUntilAvailable(replicas, now).orElse(0);
-        fail(
-                waitPredictor.findUnservable(spec, schedule, replicas.size(), firstCallAt).stream()
-                        .map(queuedPieces::get)
-                        .toList(),
-                PieceResult.Reason.LATE);
-    }
-
-    private void failAll(PieceResult.Reason reason) {
-        fail(List.copyOf(queuedPieces.values()), reason);
-    }
-
-    private void fail(List<PendingPiece> pending, PieceResult.Reason reason) {
-        for (PendingPiece pendingPiece : pending) {
-            queuedPieces.remove(pendingPiece.piece());
-            pendingPiece.result().complete(new PieceResult.NotCompleted(reason));
-        }
+        List<Piece> unservablePieces =
+                waitPredictor.findUnservable(spec, schedule, replicas.size(), firstCallAt);
+        queuedPieces.fail(unservablePieces, PieceResult.Reason.LATE);
+        return !unservablePieces.isEmpty();
     }
 
     private void send(BatchSpec spec, BatchSelection.Batch batch) {
-        List<PendingPiece> pending = new ArrayList<>();
-        batch.pieces().forEach(piece -> pending.add(queuedPieces.remove(piece)));
+        List<PendingPiece> pending = queuedPieces.take(batch.pieces());
         ReplicaStatus status = statuses.statusOf(batch.replica());
         status.requestStarted();
         long bytes = batch.pieces().stream().mapToLong(Piece::resultBytes).sum();
@@ -278,16 +274,16 @@
         }
         if (outcome instanceof ReplicaPieceClient.NotSent notSent) {
             status.updateHealth(health -> health.afterConnectFailure(now));
-            enqueue(pending);
+            queuedPieces.addAll(pending);
             return notSent.reason();
         }
         if (outcome instanceof ReplicaPieceClient.Busy) {
             busyUntil.put(replica.id(), now + (long) spec.callOverheadMillis());
-            enqueue(pending);
+            queuedPieces.addAll(pending);
             return "full";
         }
         status.updateHealth(health -> health.afterFailure(now));
-        fail(pending, PieceResult.Reason.FAILED);
+        PendingPieces.complete(pending, PieceResult.Reason.FAILED);
         return ((ReplicaPieceClient.Failed) outcome).reason();
     }
 
@@ -320,15 +316,10 @@
             return "made";
         }
         resultMemory.recordExhausted(replica.id(), spec.resultMemoryBytes(), now);
-        enqueue(piecesWithoutMemory);
+        queuedPieces.addAll(piecesWithoutMemory);
         return "no room for " + piecesWithoutMemory.size();
     }
 
-    /** Adds pieces that are not started to the queue. */
-    private void enqueue(List<PendingPiece> pending) {
-        pending.forEach(pendingPiece -> queuedPieces.put(pendingPiece.piece(), pendingPiece));
-    }
-
     private void record(BatchSelection.Batch batch, String outcome, long durationMillis) {
         events.record(
                 LogEvent.PIECES_MADE,
