Repeat a watch of the store that was cut

A reader passed the failure of its watch on to all followers, who took it for the reader's failure, read directly for two seconds and logged each change of the reader.

The reader now watches again after a first failure and passes on only a second one in a row.

SharedStoreTest.watchThatTheStoreCutsIsRepeatedAndReportedToNobody fails before (every follower's watch ended) and passes now.

--- a/core/src/main/java/org/sequoiaspindle/core/protocol/relay/SharedWatch.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/relay/SharedWatch.java
@@ -47,6 +47,10 @@
 
     private boolean watching;
     private boolean watchScheduled;
+
+    /** Whether the last watch failed; the store may cut a watch although it is reachable. */
+    private boolean lastWatchFailed;
+
     private long watchSentAt = Long.MIN_VALUE / 2;
 
     private record Waiter(long after, CompletableFuture<StoreResult> result) {}
@@ -125,6 +129,12 @@
             return;
         }
         watching = false;
+        boolean isFirstFailure = result instanceof StoreResult.Unavailable && !lastWatchFailed;
+        lastWatchFailed = isFirstFailure;
+        if (isFirstFailure) {
+            watchSoon();
+            return;
+        }
         if (!(result instanceof StoreResult.Changed changed) || log.isEmpty()) {
             log = result instanceof StoreResult.HistoryLost ? Optional.empty() : log;
             takeAllWaiters().forEach(waiter -> waiter.result().complete(result));
--- a/core/src/test/java/org/sequoiaspindle/core/fake/SimulatedStore.java
+++ b/core/src/test/java/org/sequoiaspindle/core/fake/SimulatedStore.java
@@ -103,6 +103,13 @@
         stalling = stall;
     }
 
+    /** Ends all waiting watches with a failure, as if their connections had been reset. */
+    public void cutWatches() {
+        List<Watch> ended = List.copyOf(watches);
+        watches.clear();
+        ended.forEach(watch -> watch.result().complete(new StoreResult.Unavailable("cut")));
+    }
+
     public CompletionStage<StoreResult> execute(String caller, StoreCommand command) {
         callsByCaller.merge(caller, 1, Integer::sum);
         CompletableFuture<StoreResult> result = new CompletableFuture<>();
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/relay/SharedStoreTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/relay/SharedStoreTest.java
@@ -138,6 +138,37 @@
         assertEquals(1, ((StoreResult.Changed) completed(later)).changes().size());
     }
 
+    /**
+     * Guards against a reader whose followers all read directly because the store cut its watch.
+     */
+    @Test
+    void watchThatTheStoreCutsIsRepeatedAndReportedToNobody() {
+        List<CompletableFuture<StoreResult>> watches = new ArrayList<>();
+        for (int follower = 0; follower < FOLLOWERS; follower++) {
+            watches.add(execute(watch(platform.revision())));
+        }
+        time.advance(100);
+        platform.cutWatches();
+        time.advance(SharedWatch.WATCH_INTERVAL_MS);
+        assertTrue(watches.stream().noneMatch(CompletableFuture::isDone));
+        platform.write("servers/a", "x");
+        time.advance(100);
+        for (CompletableFuture<StoreResult> result : watches) {
+            assertEquals(1, ((StoreResult.Changed) completed(result)).changes().size());
+        }
+        assertEquals(2, platform.calls("reader"));
+    }
+
+    @Test
+    void watchThatFailsAgainIsReportedAsAFailure() {
+        CompletableFuture<StoreResult> watch = execute(watch(platform.revision()));
+        time.advance(100);
+        platform.setReachable("reader", false);
+        platform.cutWatches();
+        time.advance(SharedWatch.WATCH_TIMEOUT_MS + 2 * SimulatedStore.TIMEOUT_MS);
+        assertInstanceOf(StoreResult.Unavailable.class, completed(watch));
+    }
+
     @Test
     void lossOfTheHistoryIsReportedToAllWatches() {
         CompletableFuture<StoreResult> watch = execute(watch(platform.revision()));
