--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/InstanceEntryCodec.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/InstanceEntryCodec.java
@@ -46,32 +46,31 @@
     /**
      * Decodes an entry.
      *
-     * @return the instance, or empty if the entry has an unknown format
+     * @return the instance, or empty if the entry has an unknown format or no valid address
      */
     static Optional<InstanceEntry> decode(StoreChange.Written item) {
-        Optional<JsonNode> node =
-                Try.of(() -> MAPPER.readTree(item.value().bytes())).toJavaOptional();
-        return node.filter(
-                        entry ->
-                                entry.path("dataCentre").isTextual()
-                                        && entry.path("host").isTextual()
-                                        && entry.path("port").isInt())
+        return Try.of(() -> MAPPER.readTree(item.value().bytes()))
+                .toJavaOptional()
+                .filter(entry -> entry.path("dataCentre").isTextual())
+                .flatMap(entry -> instance(item.key().substring(PREFIX.length()), entry));
+    }
+
+    private static Optional<InstanceEntry> instance(String name, JsonNode entry) {
+        return address(entry, "host", "port")
                 .map(
-                        entry ->
+                        address ->
                                 new InstanceEntry(
-                                        item.key().substring(PREFIX.length()),
+                                        name,
                                         entry.path("dataCentre").asText(),
-                                        new HostPort(
-                                                entry.path("host").asText(),
-                                                entry.path("port").asInt()),
-                                        relayAddress(entry)));
+                                        address,
+                                        address(entry, "relayHost", "relayPort")));
     }
 
-    private static Optional<HostPort> relayAddress(JsonNode entry) {
-        return entry.path("relayHost").isTextual() && entry.path("relayPort").isInt()
-                ? Optional.of(
-                        new HostPort(
-                                entry.path("relayHost").asText(), entry.path("relayPort").asInt()))
+    private static Optional<HostPort> address(JsonNode entry, String hostName, String portName) {
+        JsonNode host = entry.path(hostName);
+        JsonNode port = entry.path(portName);
+        return host.isTextual() && port.isIntegralNumber() && port.canConvertToInt()
+                ? HostPort.ofIpv4(host.asText(), port.asInt())
                 : Optional.empty();
     }
 }
