Archive the classes of a run that serves requests

The class archive came from a run without a store: of 5,100 classes that an instance under load uses, 902 were loaded, verified or spun from lambdas anew in each process, most of them during its first requests.

--- a/standins/src/main/java/org/sequoiaspindle/standins/transport/StandinMain.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/StandinMain.java
@@ -18,6 +18,7 @@
 import joptsimple.OptionParser;
 import joptsimple.OptionSet;
 import org.sequoiaspindle.standins.protocol.StandinJson;
+import org.sequoiaspindle.standins.state.CallerOptions;
 import org.sequoiaspindle.standins.state.EngineOptions;
 import org.sequoiaspindle.standins.state.LinkOptions;
 import org.sequoiaspindle.standins.state.OptionValues;
@@ -39,6 +40,9 @@
 
     private static final int EXIT_USAGE = 2;
 
+    /** The only stand-in that ends by itself. */
+    private static final String CALLERS = "callers";
+
     private static final Map<String, Subcommand> SUBCOMMANDS =
             new TreeMap<>(
                     Map.of(
@@ -65,8 +69,16 @@
                                                             ServiceOptions.from(optionValues)))),
                             "users-platform",
                             new Subcommand(
-                                    Set.of(),
-                                    optionValues -> addressOf(UsersPlatformServer.start())),
+                                    Set.of("port"),
+                                    optionValues ->
+                                            addressOf(
+                                                    UsersPlatformServer.start(
+                                                            optionValues.intValue("port", 0)))),
+                            CALLERS,
+                            new Subcommand(
+                                    CallerOptions.OPTION_NAMES,
+                                    optionValues ->
+                                            CallerLoad.run(CallerOptions.from(optionValues))),
                             "link",
                             new Subcommand(LinkOptions.OPTION_NAMES, StandinMain::startLink),
                             "fleet",
@@ -95,6 +107,9 @@
         }
         System.out.println(StandinJson.write(readyLine));
         System.out.flush();
+        if (arguments[0].equals(CALLERS)) {
+            System.exit(0);
+        }
         // The event loops are daemon threads, so the main thread keeps the process alive.
         new CompletableFuture<Void>().join();
     }
--- a/standins/src/main/java/org/sequoiaspindle/standins/transport/UsersPlatformServer.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/UsersPlatformServer.java
@@ -45,15 +45,19 @@
     private final RegistryServer registry;
     private final List<ReplicaServer> replicas;
 
-    private UsersPlatformServer() {
-        registry = RegistryServer.start(0);
+    private UsersPlatformServer(int port) {
+        registry = RegistryServer.start(port);
         registry.write("op/config", CONFIGURATION.formatted(API_KEY));
         replicas = SERVICES_BY_REPLICA_ID.entrySet().stream().map(this::startReplica).toList();
     }
 
-    /** Starts the servers on ephemeral loopback ports. */
-    public static UsersPlatformServer start() {
-        return new UsersPlatformServer();
+    /**
+     * Starts the servers on loopback ports.
+     *
+     * @param port port of the store, 0 for an ephemeral port; the replicas use ephemeral ports
+     */
+    public static UsersPlatformServer start(int port) {
+        return new UsersPlatformServer(port);
     }
 
     private ReplicaServer startReplica(Map.Entry<String, String> replica) {
