Recognise late copies of earlier responses from replicas

Here a response without an identifier was taken for that of the request in progress, and the results of pieces were not matched to their call at all, so a copy could give one request the inputs of another.

A response without an identifier on a connection that has carried another request now counts as no answer. A result that does not lie at the replica, or that an earlier call returned, fails the call. After a rejection or an unusable response to a call of pieces the connection is closed, because the true response would be taken for that to the next call.

All three tests of RepeatedResponseTest fail before (503 in place of 502; the first request's result given to the second; a result at another address used) and pass now.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
@@ -163,6 +163,11 @@
                 && !parsedHead.requestId().get().equals(expectedId)) {
             return false;
         }
+        if (parsedHead.requestId().isEmpty() && connection.isReused()) {
+            connection.abort();
+            failed("response without an identifier on a connection in use again");
+            return true;
+        }
         responseHead = parsedHead;
         endsWithConnection =
                 !HttpUtil.isContentLengthSet(response)
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClient.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClient.java
@@ -3,18 +3,24 @@
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.atomic.AtomicReference;
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.coordination.forwarding.BatchSelection;
 import org.sequoiaspindle.core.coordination.forwarding.PieceCallTimeout;
+import org.sequoiaspindle.core.coordination.forwarding.RecentHandles;
 import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
 import org.sequoiaspindle.core.protocol.forwarding.PieceResult;
 import org.sequoiaspindle.core.protocol.forwarding.ReplicaResponseHead;
 import org.sequoiaspindle.core.protocol.forwarding.StageCodec;
 import org.sequoiaspindle.core.state.forwarding.BatchSpec;
+import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.daemon.transport.http.ConnectionPool.Destination;
 import org.sequoiaspindle.daemon.transport.http.HttpCallClient;
 
-/** Sends the calls with which replicas execute pieces. Thread-safe. */
+/**
+ * Sends the calls with which replicas execute pieces. Responses do not name their call; a late copy
+ * of an earlier one is recognised by its results. Confined to the event loop of the HTTP client.
+ */
 final class ReplicaPieceClient {
 
     private final HttpCallClient client;
@@ -22,6 +28,7 @@
     private final HttpDialect dialect;
     private final StageCodec codec;
     private final MillisClock clock;
+    private final RecentHandles knownHandles = new RecentHandles();
 
     /** Outcome of a call. */
     sealed interface Outcome {}
@@ -53,29 +60,35 @@
 
     /** Sends a call. The returned future completes on the event loop of the HTTP client. */
     CompletionStage<Outcome> execute(BatchSpec spec, BatchSelection.Batch batch) {
-        return client.execute(call(spec, batch, clock.now()))
-                .thenApply(response -> toOutcome(batch, response));
+        AtomicReference<Outcome> outcome = new AtomicReference<>();
+        return client.execute(call(spec, batch, clock.now(), outcome))
+                .thenApply(
+                        result ->
+                                result.fold(
+                                        ReplicaPieceClient::outcomeOf, response -> outcome.get()));
     }
 
-    private HttpCallClient.Call call(BatchSpec spec, BatchSelection.Batch batch, long now) {
+    private static Outcome outcomeOf(HttpCallClient.Failure failure) {
+        return failure.sent() ? new Failed(failure.reason()) : new NotSent(failure.reason());
+    }
+
+    private HttpCallClient.Call call(
+            BatchSpec spec,
+            BatchSelection.Batch batch,
+            long now,
+            AtomicReference<Outcome> outcome) {
         return new HttpCallClient.Call(
                 new Destination(batch.replica().address(), batch.replica().id().toString()),
                 "POST",
                 codec.executePath(),
                 codec.headerFields(batch.replica()),
                 codec.encodeExecute(batch.pieces(), now),
-                PieceCallTimeout.millis(spec, batch.pieces(), now));
-    }
-
-    private Outcome toOutcome(
-            BatchSelection.Batch batch,
-            Either<HttpCallClient.Failure, HttpCallClient.Response> result) {
-        return result.fold(
-                failure ->
-                        failure.sent()
-                                ? new Failed(failure.reason())
-                                : new NotSent(failure.reason()),
-                response -> readResponse(batch, response));
+                PieceCallTimeout.millis(spec, batch.pieces(), now),
+                response -> {
+                    // Nothing identifies the call in a rejection, which may be a late copy.
+                    outcome.set(readResponse(batch, response));
+                    return outcome.get() instanceof Responded;
+                });
     }
 
     private Outcome readResponse(BatchSelection.Batch batch, HttpCallClient.Response response) {
@@ -89,6 +102,24 @@
             return new Failed("status " + responseHead.status());
         }
         return codec.decodeResults(response.body(), batch.pieces().size())
+                .flatMap(results -> requireNewHandles(batch.replica(), results))
                 .fold(Failed::new, Responded::new);
     }
+
+    /** Rejects a response with results that are not the replica's or that an earlier call made. */
+    private Either<String, List<PieceResult>> requireNewHandles(
+            Replica replica, List<PieceResult> results) {
+        for (PieceResult result : results) {
+            if (result instanceof PieceResult.Completed completed) {
+                boolean isFromReplica =
+                        codec.replicaAddress(completed.handle())
+                                .filter(replica.address()::equals)
+                                .isPresent();
+                if (!isFromReplica || !knownHandles.add(replica.id(), completed.handle())) {
+                    return Either.left("result of another call");
+                }
+            }
+        }
+        return Either.right(results);
+    }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/HttpCallClient.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/HttpCallClient.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 /** HTTP client for calls with small responses, on one event loop. Thread-safe. */
 public final class HttpCallClient {
@@ -31,6 +32,8 @@
      * @param fields header fields other than host, content type and content length
      * @param body body, empty for none
      * @param timeoutMillis time after which the call fails and its connection is closed
+     * @param isOwnResponse returns whether a complete response certainly belongs to the call;
+     *     otherwise the connection is not used again
      */
     public record Call(
             ConnectionPool.Destination destination,
@@ -38,7 +41,20 @@
             String target,
             Map<String, String> fields,
             byte[] body,
-            long timeoutMillis) {}
+            long timeoutMillis,
+            Predicate<Response> isOwnResponse) {
+
+        /** Creates a call to a server whose responses need no check. */
+        public Call(
+                ConnectionPool.Destination destination,
+                String method,
+                String target,
+                Map<String, String> fields,
+                byte[] body,
+                long timeoutMillis) {
+            this(destination, method, target, fields, body, timeoutMillis, response -> true);
+        }
+    }
 
     /** A complete response. */
     public record Response(int status, Function<String, Optional<String>> field, byte[] body) {}
@@ -77,7 +93,8 @@
                         result.complete(Either.left(new Failure(reason, false)));
                         return;
                     }
-                    ResponseCollector collector = new ResponseCollector(connection, result);
+                    ResponseCollector collector =
+                            new ResponseCollector(connection, call.isOwnResponse(), result);
                     collector.timeoutTimer =
                             loop.schedule(
                                     collector::expire, call.timeoutMillis(), TimeUnit.MILLISECONDS);
@@ -102,15 +119,19 @@
     private static final class ResponseCollector implements ResponseListener {
 
         private final OutboundConnection connection;
+        private final Predicate<Response> isOwnResponse;
         private final CompletableFuture<Either<Failure, Response>> result;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private HttpResponse response;
+        private Response completeResponse;
         private ScheduledFuture<?> timeoutTimer;
 
         private ResponseCollector(
                 OutboundConnection connection,
+                Predicate<Response> isOwnResponse,
                 CompletableFuture<Either<Failure, Response>> result) {
             this.connection = connection;
+            this.isOwnResponse = isOwnResponse;
             this.result = result;
         }
 
@@ -138,16 +159,21 @@
             body.writeBytes(copy);
         }
 
+        @Override
+        public boolean isOwnResponse() {
+            HttpResponse head = response;
+            completeResponse =
+                    new Response(
+                            head.status().code(),
+                            name -> Optional.ofNullable(head.headers().get(name)),
+                            body.toByteArray());
+            return isOwnResponse.test(completeResponse);
+        }
+
         @Override
         public void end() {
             timeoutTimer.cancel(false);
-            HttpResponse head = response;
-            result.complete(
-                    Either.right(
-                            new Response(
-                                    head.status().code(),
-                                    name -> Optional.ofNullable(head.headers().get(name)),
-                                    body.toByteArray())));
+            result.complete(Either.right(completeResponse));
         }
 
         @Override
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
@@ -28,6 +28,7 @@
     private final Consumer<OutboundConnection> onFree;
     private final Consumer<OutboundConnection> onClosed;
     private ResponseListener listener;
+    private int requests;
     private boolean requestWritten;
     private boolean discardingResponse;
     private boolean reusable;
@@ -51,6 +52,7 @@
     /** Sends a request with a complete body. */
     public void send(HttpRequest head, ByteBuf body, ResponseListener responseListener) {
         listener = responseListener;
+        requests++;
         discardingResponse = false;
         requestWritten = false;
         channel.writeAndFlush(
@@ -82,6 +84,14 @@
         channel.config().setAutoRead(enabled);
     }
 
+    /**
+     * Returns whether the connection has carried another request before the current one, so that a
+     * late copy of an earlier response may still arrive.
+     */
+    public boolean isReused() {
+        return requests > 1;
+    }
+
     boolean isUsable() {
         return channel.isActive() && listener == null;
     }
@@ -141,9 +151,10 @@
             return;
         }
         ResponseListener completedListener = listener;
+        boolean isOwnResponse = completedListener.isOwnResponse();
         listener = null;
         // A server that responds before it has read the whole body still expects the rest of it.
-        if (reusable && requestWritten && channel.isActive()) {
+        if (isOwnResponse && reusable && requestWritten && channel.isActive()) {
             channel.config().setAutoRead(true);
             onFree.accept(this);
         } else {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ResponseListener.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ResponseListener.java
@@ -17,6 +17,15 @@
     /** Receives the next bytes of the body; the buffer is released after the call. */
     void content(ByteBuf bytes);
 
+    /**
+     * Returns whether the complete response certainly belongs to the request. If not, the
+     * connection is closed, because the response to this request would be taken for that to the
+     * next one. Called once, before {@link #end}.
+     */
+    default boolean isOwnResponse() {
+        return true;
+    }
+
     /** Handles the end of a complete response. */
     void end();
 
