--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/LogEventWriter.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/LogEventWriter.java
@@ -5,6 +5,7 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.core.config.Configurator;
+import org.apache.logging.log4j.message.AsynchronouslyFormattable;
 import org.apache.logging.log4j.message.MapMessage;
 import org.apache.logging.log4j.message.Message;
 import org.sequoiaspindle.core.common.EventLog;
@@ -59,7 +60,11 @@
         };
     }
 
-    /** Message whose entries the JSON layout template resolves by name. */
+    /**
+     * Message whose entries the JSON layout template resolves by name. It never changes, so the
+     * thread that logs does not format it.
+     */
+    @AsynchronouslyFormattable
     private static final class EventMessage extends MapMessage<EventMessage, Object> {
 
         private static final long serialVersionUID = 1L;
