Batch pieces at an instance with much processor time

Cause: one instance decides for a whole service, and it was chosen by hash alone among machines with 0.36 to 1.5 cores. A weak one falls silent for longer than its links wait; others then batch for the same service beside it, with small calls to replicas that are busy.

Each instance states in its entry how much of a core it may use (setting 'processor', from the platform's limits; one core without it), and the instance is chosen by hash among those with at least three quarters of the most. Instances that run the code before this choose by hash alone; while both run, they batch at two places, which costs calls only.

instanceWithMuchLessProcessorTimeThanOthersIsNotSelected fails with the selection by hash alone (36 selected, 150 expected).

--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/InstanceEntryCodec.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/InstanceEntryCodec.java
@@ -30,7 +30,8 @@
                 MAPPER.createObjectNode()
                         .put("dataCentre", instance.dataCentre())
                         .put("host", instance.address().host())
-                        .put("port", instance.address().port());
+                        .put("port", instance.address().port())
+                        .put("processorPercent", instance.processorPercent());
         instance.relayAddress()
                 .ifPresent(
                         relay ->
@@ -63,7 +64,14 @@
                                         name,
                                         entry.path("dataCentre").asText(),
                                         address,
-                                        address(entry, "relayHost", "relayPort")));
+                                        address(entry, "relayHost", "relayPort"),
+                                        processorPercent(entry.path("processorPercent"))));
+    }
+
+    private static int processorPercent(JsonNode value) {
+        return value.isIntegralNumber() && value.canConvertToInt() && value.asInt() > 0
+                ? value.asInt()
+                : InstanceEntry.DEFAULT_PROCESSOR_PERCENT;
     }
 
     private static Optional<HostPort> address(JsonNode entry, String hostName, String portName) {
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/BatchingInstanceSelectorTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/BatchingInstanceSelectorTest.java
@@ -4,7 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
@@ -14,9 +17,7 @@
 final class BatchingInstanceSelectorTest {
 
     private static final List<InstanceEntry> INSTANCES =
-            IntStream.range(0, 6)
-                    .mapToObj(n -> new InstanceEntry("i" + n, "a", new HostPort("10.0.0.1", n + 1)))
-                    .toList();
+            IntStream.range(0, 6).mapToObj(n -> instance(n, 100)).toList();
 
     @Test
     void selectionDoesNotDependOnTheOrderOfTheInstances() {
@@ -38,6 +39,42 @@
         assertNotEquals(firstInstance, secondInstance);
     }
 
+    /** Guards against one weak instance that slows down the stages of all requests. */
+    @Test
+    void instanceWithMuchLessProcessorTimeThanOthersIsNotSelected() {
+        List<InstanceEntry> unequal =
+                IntStream.range(0, 40).mapToObj(n -> instance(n, n % 4 == 0 ? 150 : 36)).toList();
+        Set<String> selected = new HashSet<>();
+        for (int service = 0; service < 30; service++) {
+            InstanceEntry instance =
+                    BatchingInstanceSelector.select("s" + service, unequal, peer -> true)
+                            .orElseThrow();
+            assertEquals(150, instance.processorPercent());
+            selected.add(instance.name());
+        }
+        assertTrue(selected.size() > 5, selected.toString());
+    }
+
+    @Test
+    void weakInstanceIsSelectedIfNoStrongerOneIsReachable() {
+        List<InstanceEntry> unequal = List.of(instance(0, 150), instance(1, 36));
+        assertEquals(
+                "i1",
+                BatchingInstanceSelector.select(
+                                "board", unequal, peer -> peer.processorPercent() < 100)
+                        .orElseThrow()
+                        .name());
+    }
+
+    private static InstanceEntry instance(int number, int processorPercent) {
+        return new InstanceEntry(
+                "i" + number,
+                "a",
+                new HostPort("10.0.0.1", number + 1),
+                Optional.empty(),
+                processorPercent);
+    }
+
     @Test
     void noInstanceIsSelectedIfNoneIsReachable() {
         assertTrue(BatchingInstanceSelector.select("board", INSTANCES, peer -> false).isEmpty());
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/InstanceEntryCodecTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/InstanceEntryCodecTest.java
@@ -18,7 +18,8 @@
                     "one",
                     "a",
                     new HostPort("10.1.0.4", 7_740),
-                    Optional.of(new HostPort("10.1.0.4", 7_741)));
+                    Optional.of(new HostPort("10.1.0.4", 7_741)),
+                    36);
 
     @Test
     void entryIsReadAsItWasWritten() {
@@ -45,6 +46,12 @@
         assertTrue(entry.relayAddress().isEmpty());
     }
 
+    @Test
+    void instanceOfAnEarlierVersionCountsAsOneCore() {
+        InstanceEntry entry = decode(text().replace(",\"processorPercent\":36", "")).orElseThrow();
+        assertEquals(InstanceEntry.DEFAULT_PROCESSOR_PERCENT, entry.processorPercent());
+    }
+
     @Test
     void deeplyNestedEntryNamesNoInstance() {
         assertTrue(decode("[".repeat(100_000)).isEmpty());
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/settings/ForwardingSettingsReader.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/settings/ForwardingSettingsReader.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.regex.Pattern;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
+import org.sequoiaspindle.core.state.forwarding.InstanceEntry;
 import org.sequoiaspindle.daemon.protocol.SocketAddressParser;
 import org.sequoiaspindle.daemon.state.ForwardingSettings;
 
@@ -22,6 +23,9 @@
     private static final double MAX_RETRY_SLACK = 1e9;
     private static final int MAX_PORT = 65_535;
     private static final int MAX_PORT_OFFSET = 1_000;
+    private static final double MIN_PROCESSOR = 0.001;
+    private static final double MAX_PROCESSOR = 1_024;
+    private static final int PERCENT = 100;
     private static final Pattern NAME_PATTERN = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
     private static final String NAME_EXPECTED =
             "write 1 to 64 letters, digits, dots, hyphens or underscores";
@@ -58,7 +62,10 @@
                         maxRevokedKeyMillis(root.object("revocation")),
                         retryLimits(root.object("repeats")),
                         root.number("leaseMs", 1, MAX_DURATION_MS, Option.none()),
-                        EntrySettingsReader.logLevel(root));
+                        EntrySettingsReader.logLevel(root),
+                        root.has("processor")
+                                ? processorPercent(root.object("processor"))
+                                : InstanceEntry.DEFAULT_PROCESSOR_PERCENT);
         root.rejectUnknownFields();
         return settings;
     }
@@ -74,6 +81,14 @@
         return Math.max(0, (long) limit - margin);
     }
 
+    /** Reads how much of a core the process may use, and how fast the core is. */
+    private static int processorPercent(SettingsFields fields) {
+        double share = fields.decimal("share", MIN_PROCESSOR, MAX_PROCESSOR);
+        double speed = fields.decimal("speed", MIN_PROCESSOR, MAX_PROCESSOR);
+        fields.rejectUnknownFields();
+        return (int) Math.max(1, Math.round(share * speed * PERCENT));
+    }
+
     private static long maxRevokedKeyMillis(SettingsFields fields) {
         boolean strict = fields.flag("strict", false);
         long limit = (long) fields.decimal("limitMs", 0, MAX_DURATION_MS);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/state/ForwardingSettings.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/state/ForwardingSettings.java
@@ -21,6 +21,7 @@
  * @param retryLimits limits of retries, for all instances together
  * @param leaseMillis time to live of the instance's registration in the store
  * @param logLevel lowest level of events that are logged
+ * @param processorPercent processor time that the instance may use, in percent of a core
  */
 public record ForwardingSettings(
         String instance,
@@ -36,7 +37,8 @@
         long maxRevokedKeyMillis,
         RetryLimits retryLimits,
         long leaseMillis,
-        LogEvent.Level logLevel) {
+        LogEvent.Level logLevel,
+        int processorPercent) {
 
     /**
      * Limits of retries.
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -232,7 +232,11 @@
                         ListenerSockets.bindPeers(
                                 loops, settings.relay(), registrySync::acceptFollower));
         return new InstanceEntry(
-                settings.instance(), settings.dataCentre(), pieces, Optional.of(relay));
+                settings.instance(),
+                settings.dataCentre(),
+                pieces,
+                Optional.of(relay),
+                settings.processorPercent());
     }
 
     private void listenForStatusRequests() {
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContextTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContextTest.java
@@ -111,6 +111,7 @@
                 MAX_REVOKED_KEY_MS,
                 new ForwardingSettings.RetryLimits(0.2, 10_000, 50),
                 3_000,
-                LogEvent.Level.INFO);
+                LogEvent.Level.INFO,
+                100);
     }
 }
