Release no results at replicas that leave or want no calls

A replica that has announced its shutdown, or asked for a pause, still got calls that release results, although it wants nothing from the instance. They are left out; the results expire at the replica by themselves.

replicaThatAnnouncedItsShutdownGetsNoMoreCallsOfPieces fails without it (one release call, none expected).

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaStatuses.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaStatuses.java
@@ -28,6 +28,11 @@
         return statuses.computeIfAbsent(replica.id(), id -> new ReplicaStatus());
     }
 
+    /** Returns whether a replica has neither announced its shutdown nor asked for a pause. */
+    public boolean acceptsRequests(Replica replica, long now) {
+        return statusOf(replica).availability().acceptsRequests(now);
+    }
+
     /** Returns the replicas that have not announced their shutdown. */
     public List<Replica> withoutLeaving(List<Replica> replicas) {
         return replicas.stream()
@@ -53,7 +58,7 @@
      */
     public List<Candidate> candidates(List<Replica> replicas, long now) {
         return replicas.stream()
-                .filter(replica -> statusOf(replica).availability().acceptsRequests(now))
+                .filter(replica -> acceptsRequests(replica, now))
                 .map(
                         replica -> {
                             ReplicaStatus status = statusOf(replica);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -113,7 +113,11 @@
                         service -> newBatchingExecutor(service, answerRecorder, adapter));
         ReplicaHandleReleaser releaser =
                 new ReplicaHandleReleaser(
-                        control, adapter.stages(), registry, localExecutor::resultsReleased);
+                        control,
+                        adapter.stages(),
+                        registry,
+                        replica -> statuses.acceptsRequests(replica, clock.now()),
+                        localExecutor::resultsReleased);
         pieceListener = new PieceListener(localExecutor, releaser, clock);
         DistributedPieceExecutor pieceExecutor =
                 new DistributedPieceExecutor(
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaHandleReleaser.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaHandleReleaser.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import org.sequoiaspindle.core.protocol.forwarding.Registry;
 import org.sequoiaspindle.core.protocol.forwarding.StageCodec;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
@@ -29,6 +30,7 @@
     private final EventLoopWorker worker;
     private final StageCodec codec;
     private final Registry registry;
+    private final Predicate<Replica> acceptsCalls;
     private final BiConsumer<Replica, List<String>> onReleased;
 
     /** Pending handles by the address of the replica; accessed only on the worker's event loop. */
@@ -37,16 +39,19 @@
     /**
      * Creates a releaser without pending handles.
      *
+     * @param acceptsCalls returns whether a replica wants calls; the results of others expire there
      * @param onReleased called when a call to release handles has ended
      */
     ReplicaHandleReleaser(
             EventLoopWorker worker,
             StageCodec codec,
             Registry registry,
+            Predicate<Replica> acceptsCalls,
             BiConsumer<Replica, List<String>> onReleased) {
         this.worker = worker;
         this.codec = codec;
         this.registry = registry;
+        this.acceptsCalls = acceptsCalls;
         this.onReleased = onReleased;
     }
 
@@ -78,7 +83,7 @@
     }
 
     private void send(HostPort address, List<String> handles) {
-        Optional<Replica> replica = registry.replicas().replicaAt(address);
+        Optional<Replica> replica = registry.replicas().replicaAt(address).filter(acceptsCalls);
         if (replica.isEmpty()) {
             return;
         }
--- a/standins/src/main/java/org/sequoiaspindle/standins/protocol/ReplicaFrontEnd.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/protocol/ReplicaFrontEnd.java
@@ -43,6 +43,7 @@
     private final AtomicReference<FatalPart> fatalPart = new AtomicReference<>();
     private final List<FullRequest> executedRequests = new CopyOnWriteArrayList<>();
     private final AtomicLong pausedRequestCount = new AtomicLong();
+    private final AtomicLong releaseCallCount = new AtomicLong();
     private final AtomicLong pieceCallCount = new AtomicLong();
     private final AtomicLong abandonedRequestCount = new AtomicLong();
     private final AtomicLong lastHandleNumber = new AtomicLong();
@@ -96,6 +97,11 @@
         return pausedRequestCount.get();
     }
 
+    /** Returns the number of calls that released results. */
+    public long releaseCallCount() {
+        return releaseCallCount.get();
+    }
+
     /** Returns the number of stage calls, each of which may produce several pieces. */
     public long pieceCallCount() {
         return pieceCallCount.get();
@@ -115,6 +121,7 @@
             } else if (request.path().equals("/api/stage-run")) {
                 responder.scheduler().schedule(serviceMs, () -> makePieces(request, responder));
             } else if (request.path().equals("/api/stage-free")) {
+                releaseCallCount.incrementAndGet();
                 StandinJson.parse(request.body().toUtf8String())
                         .path("handles")
                         .forEach(handle -> resultHandles.remove(handle.asText()));
--- a/standins/src/main/java/org/sequoiaspindle/standins/transport/ReplicaServer.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/ReplicaServer.java
@@ -67,6 +67,11 @@
         return frontEnd.abandonedRequestCount();
     }
 
+    /** Returns the number of calls that released results. */
+    public long releaseCallCount() {
+        return frontEnd.releaseCallCount();
+    }
+
     /** Returns the number of requests that were rejected with a request for a pause. */
     public long pausedRequestCount() {
         return frontEnd.pausedRequestCount();
