Say when the next call can start, and why rejections close connections

Found in the last reading: the time that findUnservable takes is no longer always the current one, and a comment did not say what it explains.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/QueueWaitPredictor.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/QueueWaitPredictor.java
@@ -49,6 +49,8 @@
      *
      * @param schedule pending pieces
      * @param replicas number of usable replicas
+     * @param now time at which the next call can start, in milliseconds; later than the current
+     *     time while all replicas have asked for a pause
      */
     public List<Piece> findUnservable(
             BatchSpec spec, PieceSchedule schedule, int replicas, long now) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClient.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClient.java
@@ -85,7 +85,8 @@
                 codec.encodeExecute(batch.pieces(), now),
                 PieceCallTimeout.millis(spec, batch.pieces(), now),
                 response -> {
-                    // Nothing identifies the call in a rejection, which may be a late copy.
+                    // A rejection does not name its call, so it may be a late copy of an earlier
+                    // one.
                     outcome.set(readResponse(batch, response));
                     return outcome.get() instanceof Responded;
                 });
