--- a/review/2/LateRejection.java
+++ b/review/2/LateRejection.java
@@ -7,9 +7,9 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * One of four stage replicas crashes after it has answered a call, so that the model replica rejects
- * the request with 409 and has not run it. The model replica, one of two, sends this one rejection a
- * second time, late: when the next request arrives on the connection.
+ * One of four stage replicas crashes after it has answered a call, so that the model replica
+ * rejects the request with 409 and has not run it. The model replica, one of two, sends this one
+ * rejection a second time, late: when the next request arrives on the connection.
  */
 public final class LateRejection {
     private static final int REQUESTS = 45;
@@ -67,7 +67,8 @@
                         .toList();
         deployment.record(
                 served + " of " + REQUESTS + " requests served; the model replicas gave " + answers
-                        + " answers and sent " + copies + " copies; refused although run: " + broken);
+                        + " answers and sent " + copies + " copies; refused although run: "
+                        + broken);
         if (served < REQUESTS / 2) {
             throw new IllegalStateException("fewer than half of the requests were served");
         }
--- a/review/common/Case.java
+++ b/review/common/Case.java
@@ -62,7 +62,7 @@
         int status = 2;
         try (Case deployment = new Case(arguments)) {
             status = body.run(deployment) ? 0 : 1;
-            deployment.record(status == 0 ? "RESULT: the rule held" : "RESULT: the rule was broken");
+            deployment.record("RESULT: the rule " + (status == 0 ? "held" : "was broken"));
         } catch (Throwable e) {
             e.printStackTrace();
         }
