Show that a process stops when its output is not read

The asynchronous appenders drop events when their queue is full, but report that on standard error from the event loop. With one reader for both outputs the loop blocks.

--- a/review/common/Case.java
+++ b/review/common/Case.java
@@ -1,5 +1,7 @@
 import java.io.File;
 import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
 import java.io.PrintWriter;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -12,6 +14,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 
 /**
  * A deployment for one case: the store, entry processes started with the command of the deploy
@@ -129,8 +132,16 @@
         return map;
     }
 
-    /** Starts an entry process with the command of the deploy file and waits until it is ready. */
+    /** Starts an entry process whose output goes to a file; see {@link #startEntry}. */
     Entry startEntry(String name, String zone) throws Exception {
+        return startEntry(name, zone, () -> true);
+    }
+
+    /**
+     * Starts an entry process with the command of the deploy file and waits until it is ready.
+     * Standard output and standard error go to one reader, which reads as long as it is told to.
+     */
+    Entry startEntry(String name, String zone, BooleanSupplier readsLog) throws Exception {
         int[] ports = freePorts(5);
         Path settings = work.resolve(name + ".json");
         String template = Files.readString(root.resolve("deploy/settings.json.template"));
@@ -159,16 +170,31 @@
         ProcessBuilder builder =
                 new ProcessBuilder(command())
                         .directory(root.toFile())
-                        .redirectErrorStream(true)
-                        .redirectOutput(work.resolve(name + ".log").toFile());
+                        .redirectErrorStream(true);
         builder.environment().put("SEQUOIASPINDLE_SETTINGS", settings.toString());
         Entry entry = new Entry(name, ports[0], ports[1], builder.start());
         entries.add(entry);
+        Http.daemonThread(() -> readLog(entry, readsLog));
         awaitReady(entry);
         record("entry " + name + " is ready");
         return entry;
     }
 
+    private void readLog(Entry entry, BooleanSupplier readsLog) {
+        byte[] buffer = new byte[4096];
+        try (InputStream in = entry.process.getInputStream();
+                OutputStream out = Files.newOutputStream(work.resolve(entry.name + ".log"))) {
+            for (int length = in.read(buffer); length > 0; length = in.read(buffer)) {
+                out.write(buffer, 0, length);
+                while (!readsLog.getAsBoolean()) {
+                    sleep(20);
+                }
+            }
+        } catch (IOException e) {
+            // The process has ended.
+        }
+    }
+
     private List<String> command() throws IOException {
         String line =
                 Files.readAllLines(root.resolve("deploy/system.toml")).stream()
