Send an identifier at most once on a connection to a replica

Cause: a request whose inputs are gone (409) is sent again under the same identifier, to the same replica on the same kept connection. A late copy of the first answer names that identifier and was taken for the second answer.

Change: the pool passes a connection that has not carried the identifier yet and closes one that has. This holds for copies of any status, and for clients that use an identifier again.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/StableHash.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/StableHash.java
@@ -3,10 +3,15 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 
 /** Hash with the same values on all instances. */
-final class StableHash {
+public final class StableHash {
 
     private StableHash() {}
 
+    /** Returns the hash of one string. */
+    public static long of(String value) {
+        return Hashing.komihash5_0().hashCharsToLong(value);
+    }
+
     static long of(String first, String second) {
         return Hashing.komihash5_0().hashStream().putString(first).putString(second).getAsLong();
     }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
@@ -64,7 +64,7 @@
     void start() {
         replicaStatus.requestStarted();
         Destination destination = new Destination(replica.address(), replica.id().toString());
-        forwardedRequest.worker().pool().acquire(destination, this::connected);
+        forwardedRequest.worker().pool().acquireFor(requestId(), destination, this::connected);
     }
 
     private void connected(OutboundConnection acquiredConnection, String reason) {
@@ -158,9 +158,8 @@
                         .read(
                                 response.status().code(),
                                 name -> Optional.ofNullable(response.headers().get(name)));
-        String expectedId = forwardedRequest.request().metadata().id();
         if (parsedHead.requestId().isPresent()
-                && !parsedHead.requestId().get().equals(expectedId)) {
+                && !parsedHead.requestId().get().equals(requestId())) {
             return false;
         }
         if (parsedHead.requestId().isEmpty() && connection.isReused()) {
@@ -211,6 +210,10 @@
         }
     }
 
+    private String requestId() {
+        return forwardedRequest.request().metadata().id();
+    }
+
     private boolean isStream() {
         return forwardedRequest.route().kind() == RequestKind.STREAM;
     }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ConnectionPool.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ConnectionPool.java
@@ -13,9 +13,11 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
 
@@ -67,16 +69,66 @@
      * if connecting fails.
      */
     public void acquire(Destination destination, BiConsumer<OutboundConnection, String> callback) {
+        acquire(destination, connection -> true, callback);
+    }
+
+    /**
+     * Passes a connection that has not carried a request with the identifier yet to the callback.
+     * On a connection that has, a late copy of the earlier response would be taken for the response
+     * to this request, because both name the same identifier. Such connections are closed, so that
+     * requests with one identifier do not accumulate connections.
+     */
+    public void acquireFor(
+            String requestId,
+            Destination destination,
+            BiConsumer<OutboundConnection, String> callback) {
+        acquire(
+                destination,
+                connection -> !connection.hasCarried(requestId),
+                (connection, reason) -> {
+                    if (connection != null) {
+                        connection.recordRequest(requestId);
+                    }
+                    callback.accept(connection, reason);
+                });
+    }
+
+    private void acquire(
+            Destination destination,
+            Predicate<OutboundConnection> isSuitable,
+            BiConsumer<OutboundConnection, String> callback) {
+        OutboundConnection idle = takeIdle(destination, isSuitable);
+        if (idle != null) {
+            callback.accept(idle, "");
+        } else {
+            connect(destination, callback);
+        }
+    }
+
+    /**
+     * Removes the newest suitable connection from the pool, or returns null if there is none.
+     * Closes the unsuitable ones that are newer.
+     */
+    private OutboundConnection takeIdle(
+            Destination destination, Predicate<OutboundConnection> isSuitable) {
         Deque<IdleConnection> connections = idleConnections.get(destination);
-        while (connections != null && !connections.isEmpty()) {
-            IdleConnection newest = connections.pollLast();
-            if (newest.connection().isUsable() && !isExpired(newest)) {
-                callback.accept(newest.connection(), "");
-                return;
+        if (connections == null) {
+            return null;
+        }
+        Iterator<IdleConnection> newestFirst = connections.descendingIterator();
+        while (newestFirst.hasNext()) {
+            IdleConnection entry = newestFirst.next();
+            OutboundConnection connection = entry.connection();
+            if (!connection.isUsable() || isExpired(entry)) {
+                continue;
+            }
+            newestFirst.remove();
+            if (isSuitable.test(connection)) {
+                return connection;
             }
-            newest.connection().close();
+            connection.close();
         }
-        connect(destination, callback);
+        return null;
     }
 
     /** Returns an acquired connection that has not been used. */
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
@@ -13,7 +13,10 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.function.Consumer;
+import org.sequoiaspindle.core.coordination.forwarding.StableHash;
 
 /**
  * A connection to a server that carries one request at a time. Confined to the event loop of the
@@ -24,9 +27,19 @@
  */
 public final class OutboundConnection extends SimpleChannelInboundHandler<HttpObject> {
 
+    /**
+     * Number of identified requests after which a connection is not used again. It bounds the
+     * memory for their identifiers.
+     */
+    private static final int MAX_IDENTIFIED_REQUESTS = 1_000;
+
     private final Channel channel;
     private final Consumer<OutboundConnection> onFree;
     private final Consumer<OutboundConnection> onClosed;
+
+    /** Hashes of the identifiers of all requests that the connection has carried. */
+    private final Set<Long> carriedRequests = new HashSet<>();
+
     private ResponseListener listener;
     private int requests;
     private boolean requestWritten;
@@ -92,6 +105,19 @@
         return requests > 1;
     }
 
+    /** Records that the next request on the connection has the identifier. */
+    void recordRequest(String requestId) {
+        carriedRequests.add(StableHash.of(requestId));
+    }
+
+    /**
+     * Returns whether the connection has carried a request with the identifier. Rarely also true
+     * for another identifier with the same hash.
+     */
+    boolean hasCarried(String requestId) {
+        return carriedRequests.contains(StableHash.of(requestId));
+    }
+
     boolean isUsable() {
         return channel.isActive() && listener == null;
     }
@@ -154,7 +180,11 @@
         boolean isOwnResponse = completedListener.isOwnResponse();
         listener = null;
         // A server that responds before it has read the whole body still expects the rest of it.
-        if (isOwnResponse && reusable && requestWritten && channel.isActive()) {
+        if (isOwnResponse
+                && reusable
+                && requestWritten
+                && carriedRequests.size() < MAX_IDENTIFIED_REQUESTS
+                && channel.isActive()) {
             channel.config().setAutoRead(true);
             onFree.accept(this);
         } else {
