Do not pass on rejections that a replica may have executed

Callers saw: a replica's 408, 429 or 503 for a payment that the replica may have executed. Clients take these statuses for the promise that the request was not executed and never will be, and repeat it.

Cause: only a response with the replica's statement (not executed, or 421) says so, but any 4xx was delivered and any 503 was delivered after retries.

Change: ReplicaResponseHead.attemptResult, a pure function, classifies such a rejection as unknown, so that the route's rule for retries applies and the client gets 502 otherwise.

--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/ReplicaResponseHead.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/ReplicaResponseHead.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
+import org.sequoiaspindle.core.coordination.forwarding.AttemptResult;
 import org.sequoiaspindle.core.state.forwarding.ReplicaLoad;
 
 /**
@@ -28,9 +30,15 @@
 
     private static final int SUCCESS = 200;
     private static final int REDIRECTION = 300;
+    private static final int CONFLICT = 409;
+    private static final int MISDIRECTED_REQUEST = 421;
     private static final int SERVER_ERROR = 500;
     private static final int SERVICE_UNAVAILABLE = 503;
 
+    /** Statuses from which clients conclude that the request was not and will not be executed. */
+    private static final Set<Integer> NOT_EXECUTED_STATUSES =
+            Set.of(408, MISDIRECTED_REQUEST, 429, SERVICE_UNAVAILABLE);
+
     public boolean isSuccess() {
         return status >= SUCCESS && status < REDIRECTION;
     }
@@ -39,6 +47,27 @@
         return status >= SERVER_ERROR;
     }
 
+    /**
+     * Returns the result of the attempt that ends with this response. A replica may have executed a
+     * request that it rejects without stating the contrary, so such a rejection is not passed on:
+     * clients would conclude from its status that the request was not executed.
+     */
+    public AttemptResult attemptResult() {
+        if (isSuccess()) {
+            return AttemptResult.ANSWERED;
+        }
+        if (notExecuted) {
+            return status == CONFLICT ? AttemptResult.INPUTS_GONE : AttemptResult.NOT_EXECUTED;
+        }
+        if (status == MISDIRECTED_REQUEST) {
+            return AttemptResult.NOT_EXECUTED;
+        }
+        if (NOT_EXECUTED_STATUSES.contains(status)) {
+            return AttemptResult.UNKNOWN;
+        }
+        return isServerError() ? AttemptResult.FAILED : AttemptResult.ANSWERED;
+    }
+
     /** Returns the pause that the replica asks for when it turns a request away. */
     public OptionalLong pauseMillis() {
         return status == SERVICE_UNAVAILABLE ? retryAfterMillis : OptionalLong.empty();
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
@@ -38,8 +38,6 @@
      */
     private static final int MAX_BUFFERED_BYTES = 512 * 1024;
 
-    private static final int CONFLICT = 409;
-    private static final int MISDIRECTED_REQUEST = 421;
     private static final int MAX_URGENCY = 9;
 
     private final ForwardedRequest forwardedRequest;
@@ -247,17 +245,7 @@
             forwardedRequest.streamCompleted(responseHead.status());
             return;
         }
-        finish(classifyResponse(), "status " + responseHead.status());
-    }
-
-    private AttemptResult classifyResponse() {
-        if (responseHead.status() == CONFLICT && responseHead.notExecuted()) {
-            return AttemptResult.INPUTS_GONE;
-        }
-        if (responseHead.notExecuted() || responseHead.status() == MISDIRECTED_REQUEST) {
-            return AttemptResult.NOT_EXECUTED;
-        }
-        return responseHead.isServerError() ? AttemptResult.FAILED : AttemptResult.ANSWERED;
+        finish(responseHead.attemptResult(), "status " + responseHead.status());
     }
 
     @Override
