Report a request as unknown if its second preparation fails

Callers saw: 503, "not executed", for a request that a first replica may have executed, if the second replica had lost its inputs (409) and the stages failed when they were computed anew.

Cause: the failure of the stages was reported without regard to the attempts before it.

Change: it goes through rejectOrFail, as the end of an attempt does.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardedRequest.java
@@ -147,10 +147,10 @@
                                 request.receivedAt() + route().objectiveMillis(),
                                 deadlineMillis),
                         this::stagesCompleted,
-                        this::reject);
+                        this::rejectOrFail);
         // The stages would be wasted if the key confirmation were too old at their end.
         if (admission.keyOwner().isPresent() && !context.maySendWithKey(stages.estimatedMillis())) {
-            reject(RejectionReason.KEYS_UNCONFIRMED);
+            rejectOrFail(RejectionReason.KEYS_UNCONFIRMED);
             return;
         }
         stages.start();
