Limit what a client's number of pieces can cost

Cause: nothing limited what an instance holds and does because of one number in a request head. PieceQueue.add, quadratic in it, only multiplied that.

Change: StageAdmission, a pure function, decides before any piece exists: more than maxPiecesPerRequest (setting, default 1,000) is refused with 400, stages that even idle replicas could not compute in time or store are refused at once with 503, and the refusal names the limit. The queue adds and removes the pieces of a request together. Load reports no longer wrap around. The other limits on clients name themselves as well. ForwardedRequest and ClientConnection were split for that: RequestAdmission, AttemptHistory, RequestBody with MemoryBudget.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/Admission.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/Admission.java
@@ -25,6 +25,11 @@
             }
             return route.priority();
         }
+
+        /** Returns how long the client waits for the response, from the arrival of the request. */
+        public long timeoutMillis(RequestMetadata metadata) {
+            return Math.min(metadata.timeoutMillis(), route.timeoutMillis());
+        }
     }
 
     /** The request is rejected and is not sent to any replica. */
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/PieceQueue.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/PieceQueue.java
@@ -5,9 +5,12 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
+import java.util.stream.Collectors;
 
 /**
  * Pending pieces of one service, grouped by request and stage. The groups are kept in the order in
@@ -41,34 +44,61 @@
     private final TreeSet<Group> groups = new TreeSet<>(PieceQueue::compare);
 
     /** Creates a queue that contains the given pieces. */
-    public static PieceQueue of(Iterable<Piece> pieces) {
+    public static PieceQueue of(Collection<Piece> pieces) {
         PieceQueue queue = new PieceQueue();
-        pieces.forEach(queue::add);
+        queue.addAll(pieces);
         return queue;
     }
 
-    /** Adds a piece. Equal pieces are kept beside each other. */
+    /**
+     * Adds pieces. Equal pieces are kept beside each other. Each group is sorted once, so that the
+     * cost does not grow with the square of the number of pieces that a client has stated.
+     */
+    public void addAll(Collection<Piece> pieces) {
+        byGroup(pieces).forEach(this::addToGroup);
+    }
+
+    /** Adds a piece. */
     public void add(Piece piece) {
-        GroupId id = GroupId.of(piece);
+        addToGroup(GroupId.of(piece), List.of(piece));
+    }
+
+    /** Removes pieces, which are identified by reference. Each group is copied once. */
+    public void removeAll(Collection<Piece> pieces) {
+        byGroup(pieces).forEach(this::removeFromGroup);
+    }
+
+    /** Removes a piece, which is identified by reference. */
+    public void remove(Piece piece) {
+        removeFromGroup(GroupId.of(piece), List.of(piece));
+    }
+
+    private static Map<GroupId, List<Piece>> byGroup(Collection<Piece> pieces) {
+        return pieces.stream().collect(Collectors.groupingBy(GroupId::of));
+    }
+
+    private void addToGroup(GroupId id, List<Piece> added) {
         Group group = groupsById.get(id);
+        List<Piece> pieces = new ArrayList<>(group == null ? List.of() : group.pieces());
+        pieces.addAll(added);
+        pieces.sort(BY_NUMBER);
         if (group == null) {
-            put(new Group(id, piece.priority(), piece.dueAt(), List.of(piece)));
-            return;
+            Piece first = pieces.get(0);
+            put(new Group(id, first.priority(), first.dueAt(), List.copyOf(pieces)));
+        } else {
+            replace(group, pieces);
         }
-        List<Piece> pieces = new ArrayList<>(group.pieces());
-        pieces.add(piece);
-        pieces.sort(BY_NUMBER);
-        replace(group, pieces);
     }
 
-    /** Removes a piece, which is identified by reference. */
-    public void remove(Piece piece) {
-        Group group = groupsById.get(GroupId.of(piece));
+    private void removeFromGroup(GroupId id, List<Piece> removed) {
+        Group group = groupsById.get(id);
         if (group == null) {
             return;
         }
+        Set<Piece> removedByReference = Collections.newSetFromMap(new IdentityHashMap<>());
+        removedByReference.addAll(removed);
         List<Piece> pieces = new ArrayList<>(group.pieces());
-        pieces.removeIf(pending -> pending == piece);
+        pieces.removeIf(removedByReference::contains);
         replace(group, pieces);
     }
 
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/RejectionReason.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/RejectionReason.java
@@ -14,6 +14,10 @@
     MALFORMED,
     /** The request body exceeds the size limit. */
     BODY_TOO_LARGE,
+    /** The request states more pieces than the limit of the instance. */
+    TOO_MANY_PIECES,
+    /** The stages exceed what all replicas together can compute or store. */
+    STAGES_TOO_LARGE,
     /** The service has no available replica. */
     NO_REPLICA,
     /** The tried replicas have no free capacity; the request was not executed. */
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaStatus.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaStatus.java
@@ -89,7 +89,9 @@
         double otherRequests =
                 Math.max(
                         0,
-                        report.load().running() + report.load().waiting() - report.localInFlight());
+                        (double) report.load().running()
+                                + report.load().waiting()
+                                - report.localInFlight());
         double reportWeight = 1.0 - (double) (now - report.receivedAt()) / LOAD_TTL_MS;
         return localRequests + otherRequests * reportWeight;
     }
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/StagePlan.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/StagePlan.java
@@ -87,9 +87,11 @@
      * on.
      */
     public List<String> inputHandles(StageSpec stage) {
-        return presentDependencies(stage)
-                .flatMap(number -> handlesByStage.get(number).stream())
-                .toList();
+        // A piece keeps an unmodifiable copy as it is, so all pieces share this one.
+        return List.copyOf(
+                presentDependencies(stage)
+                        .flatMap(number -> handlesByStage.get(number).stream())
+                        .toList());
     }
 
     /**
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RejectionResponse.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RejectionResponse.java
@@ -12,8 +12,9 @@
  *
  * @param status HTTP status
  * @param retryAfterMillis delay after which the client should retry, empty if a retry is pointless
+ * @param explanation text for the client, such as the limit that was exceeded; may be empty
  */
-public record RejectionResponse(int status, OptionalLong retryAfterMillis) {
+public record RejectionResponse(int status, OptionalLong retryAfterMillis, String explanation) {
 
     /** Retry delay for a service without free slots: about the duration of a request. */
     private static final long FULL_RETRY_MS = 300;
@@ -36,21 +37,30 @@
     public static RejectionResponse of(RejectionReason reason, long millisUntilReplica) {
         return switch (reason) {
             case NO_CONFIGURATION, KEYS_UNCONFIRMED -> retryAfter(STORE_RETRY_MS);
-            case NO_ROUTE -> new RejectionResponse(404, OptionalLong.empty());
-            case UNKNOWN_KEY -> new RejectionResponse(401, OptionalLong.empty());
-            case MALFORMED -> new RejectionResponse(400, OptionalLong.empty());
-            case BODY_TOO_LARGE -> new RejectionResponse(413, OptionalLong.empty());
-            case NO_REPLICA, STAGE_FAILED ->
+            case NO_ROUTE -> withoutRetry(404);
+            case UNKNOWN_KEY -> withoutRetry(401);
+            case MALFORMED, TOO_MANY_PIECES -> withoutRetry(400);
+            case BODY_TOO_LARGE -> withoutRetry(413);
+            case NO_REPLICA, STAGE_FAILED, STAGES_TOO_LARGE ->
                     retryAfter(Math.max(REPLICA_RETRY_MS, millisUntilReplica));
             case FULL, TOO_LATE -> retryAfter(Math.max(FULL_RETRY_MS, millisUntilReplica));
             case HARMFUL_PROMPT -> retryAfter(CrashEvidence.TTL_MS);
             case STOPPING -> retryAfter(OTHER_INSTANCE_RETRY_MS);
-            case ANSWER_LOST -> new RejectionResponse(502, OptionalLong.empty());
-            case TIMED_OUT -> new RejectionResponse(504, OptionalLong.empty());
+            case ANSWER_LOST -> withoutRetry(502);
+            case TIMED_OUT -> withoutRetry(504);
         };
     }
 
+    /** Returns the response with an explanation. */
+    public RejectionResponse explainedBy(String text) {
+        return new RejectionResponse(status, retryAfterMillis, text);
+    }
+
     private static RejectionResponse retryAfter(long millis) {
-        return new RejectionResponse(503, OptionalLong.of(millis));
+        return new RejectionResponse(503, OptionalLong.of(millis), "");
+    }
+
+    private static RejectionResponse withoutRetry(int status) {
+        return new RejectionResponse(status, OptionalLong.empty(), "");
     }
 }
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/PieceQueueTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/PieceQueueTest.java
@@ -23,6 +23,14 @@
     private static final int PIECES_PER_GROUP = 6;
     private static final long NOW = 1_000;
 
+    /** Most pieces that a request may have unless the settings allow more. */
+    private static final int LARGE_REQUEST_PIECES = 1_000;
+
+    /**
+     * Bytes for each piece: one reference for each call that the request needs, twice, and some.
+     */
+    private static final long MAX_BYTES_PER_LARGE_REQUEST_PIECE = 512;
+
     /** Bytes that a decision may allocate for each queued piece: one small object a group. */
     private static final long MAX_BYTES_PER_PIECE = 24;
 
@@ -45,6 +53,26 @@
         assertTrue(perPiece <= MAX_BYTES_PER_PIECE, "bytes for each piece: " + perPiece);
     }
 
+    /** Guards against a request whose pieces block the instance that queues them. */
+    @Test
+    void piecesOfALargeRequestAreQueuedAndTakenInBatchesAtLittleCost() {
+        List<Piece> pieces = new ArrayList<>();
+        for (int number = 0; number < LARGE_REQUEST_PIECES; number++) {
+            pieces.add(piece("large", number, 1, NOW));
+        }
+        ThreadMXBean thread = (ThreadMXBean) ManagementFactory.getThreadMXBean();
+        long before = thread.getCurrentThreadAllocatedBytes();
+        PieceQueue queue = PieceQueue.of(pieces);
+        for (int taken = 0; taken < LARGE_REQUEST_PIECES; taken += SPEC.maxPieces()) {
+            queue.removeAll(
+                    pieces.subList(
+                            taken, Math.min(taken + SPEC.maxPieces(), LARGE_REQUEST_PIECES)));
+        }
+        long perPiece = (thread.getCurrentThreadAllocatedBytes() - before) / LARGE_REQUEST_PIECES;
+        assertTrue(queue.isEmpty());
+        assertTrue(perPiece <= MAX_BYTES_PER_LARGE_REQUEST_PIECE, "bytes: " + perPiece);
+    }
+
     @Test
     void equalPiecesAreRemovedOneByOne() {
         Piece first = piece("r", 0, 1, NOW);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/settings/ForwardingSettingsReader.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/settings/ForwardingSettingsReader.java
@@ -26,6 +26,7 @@
     private static final double MIN_PROCESSOR = 0.001;
     private static final double MAX_PROCESSOR = 1_024;
     private static final int PERCENT = 100;
+    private static final long MAX_PIECES_PER_REQUEST = 100_000;
     private static final Pattern NAME_PATTERN = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
     private static final String NAME_EXPECTED =
             "write 1 to 64 letters, digits, dots, hyphens or underscores";
@@ -65,7 +66,16 @@
                         EntrySettingsReader.logLevel(root),
                         root.has("processor")
                                 ? processorPercent(root.object("processor"))
-                                : InstanceEntry.DEFAULT_PROCESSOR_PERCENT);
+                                : InstanceEntry.DEFAULT_PROCESSOR_PERCENT,
+                        (int)
+                                root.number(
+                                        "maxPiecesPerRequest",
+                                        1,
+                                        MAX_PIECES_PER_REQUEST,
+                                        Option.some(
+                                                (long)
+                                                        ForwardingSettings
+                                                                .DEFAULT_MAX_PIECES_PER_REQUEST)));
         root.rejectUnknownFields();
         return settings;
     }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/state/ForwardingSettings.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/state/ForwardingSettings.java
@@ -22,6 +22,7 @@
  * @param leaseMillis time to live of the instance's registration in the store
  * @param logLevel lowest level of events that are logged
  * @param processorPercent processor time that the instance may use, in percent of a core
+ * @param maxPiecesPerRequest maximum number of pieces of a request, all stages together
  */
 public record ForwardingSettings(
         String instance,
@@ -38,7 +39,11 @@
         RetryLimits retryLimits,
         long leaseMillis,
         LogEvent.Level logLevel,
-        int processorPercent) {
+        int processorPercent,
+        int maxPiecesPerRequest) {
+
+    /** Number of pieces that a request may have unless the settings state another one. */
+    public static final int DEFAULT_MAX_PIECES_PER_REQUEST = 1_000;
 
     /**
      * Limits of retries.
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnection.java
@@ -1,7 +1,6 @@
 package org.sequoiaspindle.daemon.transport.forwarding;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -17,11 +16,13 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import io.vavr.collection.LinkedHashMap;
 import io.vavr.control.Either;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.state.forwarding.IngressLimits;
 import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
 
@@ -38,30 +39,29 @@
     private static final long CLOSE_DELAY_MS = 1_000;
 
     private static final int REQUEST_TIMEOUT = 408;
-    private static final int CONTENT_TOO_LARGE = 413;
     private static final int SERVICE_UNAVAILABLE = 503;
 
     private final ForwardingContext context;
     private final EventLoopWorker worker;
     private final ClientConnections connections;
+    private final RequestBody body;
     private final Deque<Object> pipelinedMessages = new ArrayDeque<>();
     private Channel channel;
     private ClientResponseWriter responseWriter;
     private HttpRequest requestHead;
     private RequestMetadata metadata;
-    private CompositeByteBuf body;
     private long headReceivedAt;
     private long lastBytesAt;
     private boolean headStarted;
     private ForwardedRequest activeRequest;
     private boolean closing;
-    private long reservedBodyBytes;
 
     ClientConnection(
             ForwardingContext context, EventLoopWorker worker, ClientConnections connections) {
         this.context = context;
         this.worker = worker;
         this.connections = connections;
+        this.body = new RequestBody(connections.bodyMemory());
     }
 
     @Override
@@ -94,7 +94,11 @@
             boolean bodyTimedOut =
                     requestHead != null && now - lastBytesAt > limits.headerTimeoutMillis();
             if (headTimedOut || bodyTimedOut) {
-                reject(REQUEST_TIMEOUT);
+                reject(
+                        REQUEST_TIMEOUT,
+                        "the request was not received within "
+                                + limits.headerTimeoutMillis()
+                                + " ms");
             }
         } else if (now - lastBytesAt > limits.idleTimeoutMillis()) {
             channel.close();
@@ -148,12 +152,10 @@
 
     private void beginRequest(HttpRequest request) {
         headStarted = false;
-        if (request.decoderResult().isFailure()) {
-            reject(RequestHeadValidator.statusForDecoderFailure(request.decoderResult().cause()));
-            return;
-        }
-        if (RequestHeadValidator.hasAmbiguousFraming(request.headers())) {
-            reject(RequestHeadValidator.BAD_REQUEST);
+        Optional<RequestHeadValidator.Rejection> rejection =
+                RequestHeadValidator.validate(request, limits());
+        if (rejection.isPresent()) {
+            reject(rejection.get());
             return;
         }
         Either<String, RequestMetadata> parsedMetadata =
@@ -163,17 +165,13 @@
                                 request.uri(),
                                 name -> Optional.ofNullable(request.headers().get(name)));
         if (parsedMetadata.isLeft()) {
-            reject(RequestHeadValidator.BAD_REQUEST);
-            return;
-        }
-        if (HttpUtil.getContentLength(request, 0L) > limits().maxBodyBytes()) {
-            reject(CONTENT_TOO_LARGE);
+            reject(RequestHeadValidator.BAD_REQUEST, parsedMetadata.getLeft());
             return;
         }
         requestHead = request;
         metadata = parsedMetadata.get();
         headReceivedAt = context.clock().now();
-        body = Unpooled.compositeBuffer(1024);
+        body.begin();
         if (HttpUtil.is100ContinueExpected(request)) {
             channel.writeAndFlush(
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
@@ -187,25 +185,26 @@
         }
         if (content.decoderResult().isFailure()) {
             content.release();
-            reject(RequestHeadValidator.BAD_REQUEST);
+            reject(RequestHeadValidator.BAD_REQUEST, "the request body is malformed");
             return;
         }
-        if (body.readableBytes() + content.content().readableBytes() > limits().maxBodyBytes()) {
+        if (body.length() + content.content().readableBytes() > limits().maxBodyBytes()) {
             content.release();
-            reject(CONTENT_TOO_LARGE);
+            reject(RequestHeadValidator.longBody(limits()));
             return;
         }
-        reservedBodyBytes += content.content().readableBytes();
-        if (!connections.reserveBody(content.content().readableBytes())) {
-            content.release();
-            reject(SERVICE_UNAVAILABLE);
+        if (!body.append(content.content())) {
+            reject(
+                    SERVICE_UNAVAILABLE,
+                    "request bodies in progress exceed "
+                            + connections.bodyMemory().limitBytes()
+                            + " bytes");
             return;
         }
-        body.addComponent(true, content.content());
         if (content instanceof LastHttpContent) {
-            ClientRequest request = new ClientRequest(requestHead, metadata, body, headReceivedAt);
+            ClientRequest request =
+                    new ClientRequest(requestHead, metadata, body.complete(), headReceivedAt);
             requestHead = null;
-            body = null;
             activeRequest = new ForwardedRequest(context, worker, this, request);
             if (connections.isRejectingRequests()) {
                 activeRequest.rejectAsStopping();
@@ -246,13 +245,13 @@
     void abortResponse() {
         activeRequest = null;
         closing = true;
-        releaseReservedBody();
+        body.releaseMemory();
         channel.close();
     }
 
     private void finishResponse(boolean close) {
         activeRequest = null;
-        releaseReservedBody();
+        body.releaseMemory();
         lastBytesAt = context.clock().now();
         if (close) {
             closing = true;
@@ -275,12 +274,23 @@
         }
     }
 
+    private void reject(RequestHeadValidator.Rejection rejection) {
+        reject(rejection.status(), rejection.explanation());
+    }
+
     /** Rejects an invalid request and closes the connection, whose framing is then unknown. */
-    private void reject(int status) {
+    private void reject(int status, String explanation) {
         closing = true;
         context.metrics().recordRejection(status);
-        responseWriter.writeRejection(status).addListener(written -> closeAfterDelay());
-        releaseBody();
+        context.events()
+                .record(
+                        LogEvent.REQUEST_REJECTED,
+                        LinkedHashMap.of("status", status, "reason", explanation));
+        responseWriter
+                .writeRejection(status, explanation)
+                .addListener(written -> closeAfterDelay());
+        requestHead = null;
+        body.release();
     }
 
     /**
@@ -292,20 +302,6 @@
         worker.loop().schedule(() -> channel.close(), CLOSE_DELAY_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void releaseBody() {
-        requestHead = null;
-        releaseReservedBody();
-        if (body != null) {
-            body.release();
-            body = null;
-        }
-    }
-
-    private void releaseReservedBody() {
-        connections.releaseBody(reservedBodyBytes);
-        reservedBodyBytes = 0;
-    }
-
     private void discardPipelined() {
         pipelinedMessages.forEach(ReferenceCountUtil::release);
         pipelinedMessages.clear();
@@ -321,7 +317,8 @@
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         connections.remove(this);
-        releaseBody();
+        requestHead = null;
+        body.release();
         discardPipelined();
         if (activeRequest != null) {
             ForwardedRequest abandonedRequest = activeRequest;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnections.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnections.java
@@ -3,19 +3,18 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
-import java.util.concurrent.atomic.AtomicLong;
 import org.sequoiaspindle.core.state.forwarding.IngressLimits;
 
 /** The open client connections and the drain state of the instance. Thread-safe. */
 final class ClientConnections {
 
     /** Maximum total size of buffered request bodies; a third of the configured heap. */
-    private static final long MAX_RESERVED_BODY_BYTES = 32L * 1024 * 1024;
+    private static final long MAX_BODY_BYTES = 32L * 1024 * 1024;
 
     private final Set<ClientConnection> connections = ConcurrentHashMap.newKeySet();
     private final AtomicBoolean draining = new AtomicBoolean();
     private final AtomicBoolean rejectingRequests = new AtomicBoolean();
-    private final AtomicLong reservedBodyBytes = new AtomicLong();
+    private final MemoryBudget bodyMemory = new MemoryBudget(MAX_BODY_BYTES);
 
     void add(ClientConnection connection) {
         connections.add(connection);
@@ -25,18 +24,9 @@
         connections.remove(connection);
     }
 
-    /**
-     * Reserves memory for a part of a body. The memory must be released in either case.
-     *
-     * @return false if the total limit is exceeded
-     */
-    boolean reserveBody(int bytes) {
-        return reservedBodyBytes.addAndGet(bytes) <= MAX_RESERVED_BODY_BYTES;
-    }
-
-    /** Releases reserved memory. */
-    void releaseBody(long bytes) {
-        reservedBodyBytes.addAndGet(-bytes);
+    /** Returns the memory for the bodies of requests that are received or in progress. */
+    MemoryBudget bodyMemory() {
+        return bodyMemory;
     }
 
     /** Makes every connection close after the response to its current request. */
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientResponseWriter.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientResponseWriter.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
 import java.util.function.BooleanSupplier;
 
 /** Writes responses to a client's connection. Confined to the event loop of the connection. */
@@ -89,16 +90,23 @@
         return shouldClose(request) || !request.protocolVersion().isKeepAliveDefault();
     }
 
-    /** Writes an error response to an invalid request and announces that the connection closes. */
-    ChannelFuture writeRejection(int status) {
+    /**
+     * Writes an error response to an invalid request and announces that the connection closes.
+     *
+     * @param explanation what is wrong with the request, or the limit that it exceeds
+     */
+    ChannelFuture writeRejection(int status, String explanation) {
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(status),
+                        Unpooled.copiedBuffer(explanation, StandardCharsets.UTF_8));
         if (response.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
             response.headers().set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
         }
         response.headers()
-                .set(HttpHeaderNames.CONTENT_LENGTH, 0)
+                .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN)
+                .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         return channel.writeAndFlush(response);
     }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardedRequest.java
@@ -1,6 +1,9 @@
 package org.sequoiaspindle.daemon.transport.forwarding;
 
+import io.netty.buffer.Unpooled;
 import io.netty.util.concurrent.ScheduledFuture;
+import io.vavr.control.Either;
+import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +33,7 @@
     private final ClientConnection client;
     private final ClientRequest request;
     private final RequestTrace trace;
+    private final AttemptHistory attempts = new AttemptHistory();
     private final Set<ReplicaId> usedIds = new HashSet<>();
     private Admission.Admitted admission;
     private ReplicaChoice replicaChoice;
@@ -42,10 +46,6 @@
     private List<String> unreleasedHandles = List.of();
     private boolean inputsRecomputed;
     private ReplicaAttempt currentAttempt;
-    private BufferedResponse serverErrorResponse;
-    private int sentAttempts;
-    private int unsentAttempts;
-    private boolean mayBeExecuted;
     private boolean ended;
 
     ForwardedRequest(
@@ -101,30 +101,22 @@
 
     void start() {
         context.metrics().recordRequestStart();
-        Admission decision =
-                Admission.decide(
-                        context.registry().configuration(),
-                        request.metadata(),
-                        context.mayAcceptWithKey());
-        if (decision instanceof Admission.Rejected rejected) {
-            reject(rejected.reason());
+        Either<RequestAdmission.Rejection, Admission.Admitted> decision =
+                RequestAdmission.decide(context, request.metadata());
+        if (decision.isLeft()) {
+            decision.getLeft().admitted().ifPresent(trace::recordAdmission);
+            reject(decision.getLeft().reason(), decision.getLeft().explanation());
             return;
         }
-        admission = (Admission.Admitted) decision;
+        admission = decision.get();
         trace.recordAdmission(admission);
-        if (context.isPromptHarmful(request.metadata())) {
-            reject(RejectionReason.HARMFUL_PROMPT);
-            return;
-        }
+        deadlineMillis = request.receivedAt() + admission.timeoutMillis(request.metadata());
         replicaChoice = new ReplicaChoice(context, admission, request.metadata());
         if (!replicaChoice.isPossible()) {
             reject(RejectionReason.NO_REPLICA);
             return;
         }
         context.retryBudgets().recordRequest(admission.service());
-        deadlineMillis =
-                request.receivedAt()
-                        + Math.min(request.metadata().timeoutMillis(), route().timeoutMillis());
         deadlineTimer =
                 worker.loop()
                         .schedule(this::expire, Math.max(0, millisLeft()), TimeUnit.MILLISECONDS);
@@ -148,12 +140,18 @@
                                 deadlineMillis),
                         this::stagesCompleted,
                         this::rejectOrFail);
-        // The stages would be wasted if the key confirmation were too old at their end.
-        if (admission.keyOwner().isPresent() && !context.maySendWithKey(stages.estimatedMillis())) {
-            rejectOrFail(RejectionReason.KEYS_UNCONFIRMED);
-            return;
+        // The stages would be wasted if the request could not be sent at their end.
+        Optional<RejectionReason> obstacle = findObstacle(stages.estimatedMillis());
+        if (obstacle.isPresent()) {
+            rejectOrFail(obstacle.get());
+        } else {
+            stages.start();
         }
-        stages.start();
+    }
+
+    private Optional<RejectionReason> findObstacle(long millisUntilSend) {
+        return RequestAdmission.findObstacle(
+                context, admission, request.metadata(), millisUntilSend);
     }
 
     private void stagesCompleted(StagePlan plan) {
@@ -169,12 +167,9 @@
         if (ended) {
             return;
         }
-        if (admission.keyOwner().isPresent() && !context.maySendWithKey(0)) {
-            rejectOrFail(RejectionReason.KEYS_UNCONFIRMED);
-            return;
-        }
-        if (context.isPromptHarmful(request.metadata())) {
-            rejectOrFail(RejectionReason.HARMFUL_PROMPT);
+        Optional<RejectionReason> obstacle = findObstacle(0);
+        if (obstacle.isPresent()) {
+            rejectOrFail(obstacle.get());
             return;
         }
         Optional<Replica> replica = replicaChoice.select(inputBytes, usedIds);
@@ -191,7 +186,7 @@
 
     /** Counts an attempt whose request is about to be sent. */
     void recordSend() {
-        sentAttempts++;
+        attempts.recordSend();
     }
 
     /** Releases the stage results, which the request does not need any more. */
@@ -209,15 +204,7 @@
             return;
         }
         trace.recordFailedAttempt(replica, result, reason);
-        mayBeExecuted |= result == AttemptResult.UNKNOWN || result == AttemptResult.FAILED;
-        if (result == AttemptResult.FAILED) {
-            serverErrorResponse = response;
-        }
-        if (result == AttemptResult.NOT_SENT) {
-            unsentAttempts++;
-        }
-        switch (RetryPolicy.SAFE.decide(
-                route(), result, sentAttempts, unsentAttempts, millisLeft())) {
+        switch (attempts.recordFailure(route(), result, response, millisLeft())) {
             case RETRY_UNBUDGETED -> startAttempt();
             case RETRY_WITHIN_BUDGET -> retryWithinBudget(result);
             case RECOMPUTE_INPUTS -> recomputeInputs();
@@ -245,32 +232,36 @@
     }
 
     private void finishWith(AttemptResult result) {
-        if (serverErrorResponse != null) {
-            deliver(serverErrorResponse);
-        } else {
-            rejectOrFail(
-                    RetryPolicy.rejectionReason(result, millisLeft() < RetryPolicy.MIN_LEFT_MS));
-        }
+        rejectOrFail(RetryPolicy.rejectionReason(result, millisLeft() < RetryPolicy.MIN_LEFT_MS));
     }
 
     /** Rejects the request, or reports a failure if the request may have been executed. */
     private void rejectOrFail(RejectionReason reason) {
-        if (serverErrorResponse != null) {
-            deliver(serverErrorResponse);
+        if (attempts.serverError().isPresent()) {
+            deliver(attempts.serverError().get());
         } else {
-            reject(mayBeExecuted ? RejectionReason.ANSWER_LOST : reason);
+            reject(attempts.mayBeExecuted() ? RejectionReason.ANSWER_LOST : reason);
         }
     }
 
     private void reject(RejectionReason reason) {
+        reject(reason, "");
+    }
+
+    private void reject(RejectionReason reason, String explanation) {
         if (ended) {
             return;
         }
         RejectionResponse response =
                 RejectionResponse.of(
-                        reason, replicaChoice == null ? 0 : replicaChoice.millisUntilPossible());
+                                reason,
+                                replicaChoice == null ? 0 : replicaChoice.millisUntilPossible())
+                        .explainedBy(explanation);
         finish(response.status(), reason.name());
-        client.writeResponse(response.status(), RejectionFields.of(response));
+        client.writeResponse(
+                response.status(),
+                RejectionFields.of(response),
+                Unpooled.copiedBuffer(explanation, StandardCharsets.UTF_8));
     }
 
     private void deliver(BufferedResponse response) {
@@ -310,7 +301,8 @@
             client.abortResponse();
             return;
         }
-        boolean wasSent = mayBeExecuted || (currentAttempt != null && currentAttempt.isSent());
+        boolean wasSent =
+                attempts.mayBeExecuted() || (currentAttempt != null && currentAttempt.isSent());
         reject(wasSent ? RejectionReason.TIMED_OUT : RejectionReason.TOO_LATE);
     }
 
@@ -340,6 +332,10 @@
         }
         releaseInputs();
         request.body().release();
-        trace.finish(status, reason, sentAttempts, stages == null ? 0 : stages.completedPieces());
+        trace.finish(
+                status,
+                reason,
+                attempts.sentAttempts(),
+                stages == null ? 0 : stages.completedPieces());
     }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContext.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContext.java
@@ -1,16 +1,19 @@
 package org.sequoiaspindle.daemon.transport.forwarding;
 
+import java.util.Optional;
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.coordination.forwarding.DurationEstimates;
 import org.sequoiaspindle.core.coordination.forwarding.FirstByteTimeEstimates;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatuses;
 import org.sequoiaspindle.core.coordination.forwarding.ServiceRetryBudgets;
+import org.sequoiaspindle.core.coordination.forwarding.StageAdmission;
 import org.sequoiaspindle.core.protocol.forwarding.CrashReporter;
 import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
 import org.sequoiaspindle.core.protocol.forwarding.PieceExecutor;
 import org.sequoiaspindle.core.protocol.forwarding.Registry;
 import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
+import org.sequoiaspindle.core.state.forwarding.Route;
 import org.sequoiaspindle.daemon.state.ForwardingSettings;
 import org.sequoiaspindle.daemon.transport.telemetry.ForwardingMetrics;
 
@@ -72,6 +75,22 @@
                 .isPresent();
     }
 
+    /**
+     * Decides whether the stages of a request can be computed.
+     *
+     * @return empty if the stages may start
+     */
+    Optional<StageAdmission.Rejection> decideOnStages(
+            Route route, RequestMetadata metadata, long remainingMillis) {
+        return new StageAdmission(settings.maxPiecesPerRequest())
+                .decide(
+                        registry.configuration(),
+                        route,
+                        metadata,
+                        service -> registry.replicas().replicasOf(service).size(),
+                        remainingMillis);
+    }
+
     private boolean keysConfirmed(double share, long afterMillis) {
         long allowed = settings.maxRevokedKeyMillis();
         return allowed == 0 || registry.keysConfirmed((long) (allowed * share) - afterMillis);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PendingPieces.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PendingPieces.java
@@ -37,18 +37,20 @@
     }
 
     void addAll(List<PendingPiece> pieces) {
+        List<Piece> added = new ArrayList<>(pieces.size());
         for (PendingPiece pending : pieces) {
             if (pendingByPiece.put(pending.piece(), pending) == null) {
-                queue.add(pending.piece());
+                added.add(pending.piece());
             }
         }
+        queue.addAll(added);
     }
 
     /** Removes pieces that are about to be sent. */
     List<PendingPiece> take(Collection<Piece> pieces) {
         List<PendingPiece> taken = new ArrayList<>(pieces.size());
+        queue.removeAll(pieces);
         for (Piece piece : pieces) {
-            queue.remove(piece);
             taken.add(pendingByPiece.remove(piece));
         }
         return taken;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RejectionFields.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RejectionFields.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import org.sequoiaspindle.core.protocol.forwarding.RejectionResponse;
 
@@ -20,6 +21,9 @@
                                 fields.set(
                                         HttpHeaderNames.RETRY_AFTER,
                                         String.valueOf(millis / MILLIS_PER_SECOND)));
+        if (!response.explanation().isEmpty()) {
+            fields.set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN);
+        }
         return fields;
     }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestAdmission.java
@@ -0,0 +1,67 @@
+package org.sequoiaspindle.daemon.transport.forwarding;
+
+import io.vavr.control.Either;
+import java.util.Optional;
+import org.sequoiaspindle.core.coordination.forwarding.Admission;
+import org.sequoiaspindle.core.coordination.forwarding.RejectionReason;
+import org.sequoiaspindle.core.coordination.forwarding.StageAdmission;
+import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
+
+/** Decides whether a request may be executed, and whether it may still be sent to a replica. */
+final class RequestAdmission {
+
+    /**
+     * The request is not executed.
+     *
+     * @param admitted route and owner of the request, empty if they are unknown
+     * @param explanation text for the client, may be empty
+     */
+    record Rejection(
+            RejectionReason reason, Optional<Admission.Admitted> admitted, String explanation) {}
+
+    private RequestAdmission() {}
+
+    /** Decides on a request that has just been received, before anything is spent on it. */
+    static Either<Rejection, Admission.Admitted> decide(
+            ForwardingContext context, RequestMetadata metadata) {
+        Admission decision =
+                Admission.decide(
+                        context.registry().configuration(), metadata, context.mayAcceptWithKey());
+        if (decision instanceof Admission.Rejected rejected) {
+            return Either.left(new Rejection(rejected.reason(), Optional.empty(), ""));
+        }
+        Admission.Admitted admitted = (Admission.Admitted) decision;
+        if (context.isPromptHarmful(metadata)) {
+            return Either.left(
+                    new Rejection(RejectionReason.HARMFUL_PROMPT, Optional.of(admitted), ""));
+        }
+        Optional<StageAdmission.Rejection> stages =
+                context.decideOnStages(
+                        admitted.route(), metadata, admitted.timeoutMillis(metadata));
+        return stages.isPresent()
+                ? Either.left(
+                        new Rejection(
+                                stages.get().reason(),
+                                Optional.of(admitted),
+                                stages.get().explanation()))
+                : Either.right(admitted);
+    }
+
+    /**
+     * Returns why an admitted request must not be sent to a replica.
+     *
+     * @param millisUntilSend expected time until it is sent
+     */
+    static Optional<RejectionReason> findObstacle(
+            ForwardingContext context,
+            Admission.Admitted admission,
+            RequestMetadata metadata,
+            long millisUntilSend) {
+        if (admission.keyOwner().isPresent() && !context.maySendWithKey(millisUntilSend)) {
+            return Optional.of(RejectionReason.KEYS_UNCONFIRMED);
+        }
+        return context.isPromptHarmful(metadata)
+                ? Optional.of(RejectionReason.HARMFUL_PROMPT)
+                : Optional.empty();
+    }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestBody.java
@@ -0,0 +1,61 @@
+package org.sequoiaspindle.daemon.transport.forwarding;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+
+/** Body of a request that is being received, with the memory that is reserved for it. */
+final class RequestBody {
+
+    private static final int MAX_COMPONENTS = 1_024;
+
+    private final MemoryBudget memory;
+    private CompositeByteBuf bytes;
+    private long reservedBytes;
+
+    RequestBody(MemoryBudget memory) {
+        this.memory = memory;
+    }
+
+    /** Starts to receive another body. */
+    void begin() {
+        bytes = Unpooled.compositeBuffer(MAX_COMPONENTS);
+    }
+
+    int length() {
+        return bytes.readableBytes();
+    }
+
+    /** Takes over a part, or releases it and returns false if there is no memory for it. */
+    boolean append(ByteBuf part) {
+        int length = part.readableBytes();
+        if (!memory.tryReserve(length)) {
+            part.release();
+            return false;
+        }
+        reservedBytes += length;
+        bytes.addComponent(true, part);
+        return true;
+    }
+
+    /** Hands over the complete body; its memory stays reserved until {@link #releaseMemory}. */
+    ByteBuf complete() {
+        ByteBuf complete = bytes;
+        bytes = null;
+        return complete;
+    }
+
+    /** Gives up a body that has not been handed over, and the reserved memory. */
+    void release() {
+        releaseMemory();
+        if (bytes != null) {
+            bytes.release();
+            bytes = null;
+        }
+    }
+
+    void releaseMemory() {
+        memory.release(reservedBytes);
+        reservedBytes = 0;
+    }
+}
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContextTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContextTest.java
@@ -112,6 +112,7 @@
                 new ForwardingSettings.RetryLimits(0.2, 10_000, 50),
                 3_000,
                 LogEvent.Level.INFO,
-                100);
+                100,
+                ForwardingSettings.DEFAULT_MAX_PIECES_PER_REQUEST);
     }
 }
