Bound what replicas can make an instance hold and read

Callers could see: the end of a process that runs out of memory, with all its requests, because a faulty replica sends bytes that are no answer (report of another operator).

Cause: limits stood on single responses. Many unfinished failures at once, or a few stage answers of 8 MiB, fill a heap of 96 MB, and responses to other requests were read without end until the deadline.

Change: one budget of 16 MiB for all buffered responses; 1 MiB of responses to other requests on a connection; calls state how long their response can be.

The limit of calls has no test that fails before.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContext.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContext.java
@@ -20,6 +20,7 @@
 /**
  * Components shared by all requests. Each component is thread-safe.
  *
+ * @param responseMemory memory for responses that are not passed on until they are complete
  * @param pieceTimes estimated time from the request of a piece to its result, by service
  */
 record ForwardingContext(
@@ -34,6 +35,7 @@
         HandleReleaser releaser,
         CrashReporter crashReporter,
         ResultLocator locator,
+        MemoryBudget responseMemory,
         ForwardingMetrics metrics,
         MillisClock clock,
         EventLog events) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -319,6 +319,7 @@
                 pieceExecutor,
                 crashReporter,
                 new ResultLocator(adapter.stages(), registry),
+                new MemoryBudget(ReplicaAttempt.MAX_TOTAL_BUFFERED_BYTES),
                 metrics,
                 clock,
                 events);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
@@ -38,12 +38,19 @@
      */
     private static final int MAX_BUFFERED_BYTES = 512 * 1024;
 
+    /**
+     * Maximum total size of buffered responses; a sixth of the configured heap. Beyond it,
+     * successes are passed on as they arrive, and failures are given up.
+     */
+    static final long MAX_TOTAL_BUFFERED_BYTES = 16L * 1024 * 1024;
+
     private static final int MAX_URGENCY = 9;
 
     private final ForwardedRequest forwardedRequest;
     private final Replica replica;
     private final ReplicaStatus replicaStatus;
     private final ByteBuf bufferedBody = Unpooled.buffer(1024);
+    private long reservedBytes;
     private OutboundConnection connection;
     private ReplicaResponseHead responseHead;
     private HttpHeaders responseFields;
@@ -140,12 +147,18 @@
             return;
         }
         finished = true;
+        releaseMemory();
         replicaStatus.requestFinished();
         if (connection != null) {
             connection.abort();
         }
     }
 
+    private void releaseMemory() {
+        forwardedRequest.context().responseMemory().release(reservedBytes);
+        reservedBytes = 0;
+    }
+
     @Override
     public boolean head(HttpResponse response) {
         ReplicaResponseHead parsedHead =
@@ -190,17 +203,16 @@
             forwardContent(bytes.retainedDuplicate());
             return;
         }
-        bufferedBody.writeBytes(bytes);
-        boolean isTooLong = bufferedBody.readableBytes() > MAX_BUFFERED_BYTES;
-        if (!responseHead.isSuccess()) {
-            if (isTooLong) {
-                connection.abort();
-                failed("failure response longer than " + MAX_BUFFERED_BYTES + " bytes");
-            }
+        boolean isTooLong = !mayBuffer(bytes.readableBytes());
+        if (isTooLong && !responseHead.isSuccess()) {
+            connection.abort();
+            failed("failure response that is too long to be buffered");
             return;
         }
-        if (isTooLong || isStream()) {
+        bufferedBody.writeBytes(bytes);
+        if (responseHead.isSuccess() && (isTooLong || isStream())) {
             responseStarted = true;
+            releaseMemory();
             forwardedRequest.releaseInputs();
             forwardedRequest.firstBytesReceived();
             forwardedRequest.client().startResponse(responseHead.status(), responseFields);
@@ -208,6 +220,16 @@
         }
     }
 
+    /** Reserves the memory for bytes that are not passed on yet. */
+    private boolean mayBuffer(int bytes) {
+        if (bufferedBody.readableBytes() + bytes > MAX_BUFFERED_BYTES
+                || !forwardedRequest.context().responseMemory().tryReserve(bytes)) {
+            return false;
+        }
+        reservedBytes += bytes;
+        return true;
+    }
+
     private String requestId() {
         return forwardedRequest.request().metadata().id();
     }
@@ -281,6 +303,7 @@
 
     private void finish(AttemptResult result, String reason) {
         finished = true;
+        releaseMemory();
         if (result == AttemptResult.ANSWERED) {
             recordSuccess();
         } else {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaHandleReleaser.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaHandleReleaser.java
@@ -27,6 +27,9 @@
     /** Timeout of a call in milliseconds. */
     private static final long CALL_TIMEOUT_MS = 1_000;
 
+    /** Maximum size of a response, whose content does not matter. */
+    private static final int MAX_RESPONSE_BYTES = 64 * 1024;
+
     private final EventLoopWorker worker;
     private final StageCodec codec;
     private final Registry registry;
@@ -95,7 +98,8 @@
                                 codec.releasePath(),
                                 Map.of(),
                                 codec.encodeRelease(handles),
-                                CALL_TIMEOUT_MS))
+                                CALL_TIMEOUT_MS,
+                                MAX_RESPONSE_BYTES))
                 .thenAccept(response -> onReleased.accept(replica.get(), handles));
     }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClient.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClient.java
@@ -23,6 +23,12 @@
  */
 final class ReplicaPieceClient {
 
+    /** Maximum size of the response to a call, without the results. */
+    private static final int MAX_RESPONSE_BYTES = 16 * 1024;
+
+    /** Maximum size of one result in a response. */
+    private static final int MAX_RESULT_BYTES = 1_024;
+
     private final HttpCallClient client;
     private final ReplicaAnswerRecorder answerRecorder;
     private final HttpDialect dialect;
@@ -84,6 +90,7 @@
                 codec.headerFields(batch.replica()),
                 codec.encodeExecute(batch.pieces(), now),
                 PieceCallTimeout.millis(spec, batch.pieces(), now),
+                MAX_RESPONSE_BYTES + MAX_RESULT_BYTES * batch.pieces().size(),
                 response -> {
                     // A rejection does not name its call, so it may be a late copy of an earlier
                     // one.
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/HttpCallClient.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/HttpCallClient.java
@@ -23,15 +23,13 @@
 /** HTTP client for calls with small responses, on one event loop. Thread-safe. */
 public final class HttpCallClient {
 
-    /** Maximum size of a response body, in bytes. */
-    private static final int MAX_RESPONSE_BYTES = 8 * 1024 * 1024;
-
     /**
      * A call.
      *
      * @param fields header fields other than host, content type and content length
      * @param body body, empty for none
      * @param timeoutMillis time after which the call fails and its connection is closed
+     * @param maxResponseBytes size of a response body beyond which the call fails
      * @param isOwnResponse returns whether a complete response certainly belongs to the call;
      *     otherwise the connection is not used again
      */
@@ -42,6 +40,7 @@
             Map<String, String> fields,
             byte[] body,
             long timeoutMillis,
+            int maxResponseBytes,
             Predicate<Response> isOwnResponse) {
 
         /** Creates a call to a server whose responses need no check. */
@@ -51,8 +50,17 @@
                 String target,
                 Map<String, String> fields,
                 byte[] body,
-                long timeoutMillis) {
-            this(destination, method, target, fields, body, timeoutMillis, response -> true);
+                long timeoutMillis,
+                int maxResponseBytes) {
+            this(
+                    destination,
+                    method,
+                    target,
+                    fields,
+                    body,
+                    timeoutMillis,
+                    maxResponseBytes,
+                    response -> true);
         }
     }
 
@@ -93,8 +101,7 @@
                         result.complete(Either.left(new Failure(reason, false)));
                         return;
                     }
-                    ResponseCollector collector =
-                            new ResponseCollector(connection, call.isOwnResponse(), result);
+                    ResponseCollector collector = new ResponseCollector(connection, call, result);
                     collector.timeoutTimer =
                             loop.schedule(
                                     collector::expire, call.timeoutMillis(), TimeUnit.MILLISECONDS);
@@ -119,7 +126,7 @@
     private static final class ResponseCollector implements ResponseListener {
 
         private final OutboundConnection connection;
-        private final Predicate<Response> isOwnResponse;
+        private final Call call;
         private final CompletableFuture<Either<Failure, Response>> result;
         private final ByteArrayOutputStream body = new ByteArrayOutputStream();
         private HttpResponse response;
@@ -128,10 +135,10 @@
 
         private ResponseCollector(
                 OutboundConnection connection,
-                Predicate<Response> isOwnResponse,
+                Call call,
                 CompletableFuture<Either<Failure, Response>> result) {
             this.connection = connection;
-            this.isOwnResponse = isOwnResponse;
+            this.call = call;
             this.result = result;
         }
 
@@ -148,7 +155,7 @@
 
         @Override
         public void content(ByteBuf bytes) {
-            if (body.size() + bytes.readableBytes() > MAX_RESPONSE_BYTES) {
+            if (body.size() + bytes.readableBytes() > call.maxResponseBytes()) {
                 timeoutTimer.cancel(false);
                 connection.abort();
                 result.complete(Either.left(new Failure("response too large", true)));
@@ -167,7 +174,7 @@
                             head.status().code(),
                             name -> Optional.ofNullable(head.headers().get(name)),
                             body.toByteArray());
-            return isOwnResponse.test(completeResponse);
+            return call.isOwnResponse().test(completeResponse);
         }
 
         @Override
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
@@ -33,6 +33,14 @@
      */
     private static final int MAX_IDENTIFIED_REQUESTS = 1_000;
 
+    /**
+     * Bytes of responses to other requests after which the connection is closed, because a faulty
+     * server may send them without end. A head counts as {@link #HEAD_BYTES}.
+     */
+    private static final int MAX_DISCARDED_BYTES = 1024 * 1024;
+
+    private static final int HEAD_BYTES = 1_024;
+
     private final Channel channel;
     private final Consumer<OutboundConnection> onFree;
     private final Consumer<OutboundConnection> onClosed;
@@ -44,6 +52,7 @@
     private int requests;
     private boolean requestWritten;
     private boolean discardingResponse;
+    private int discardedBytes;
     private boolean reusable;
     private long idleLimitMillis;
 
@@ -67,6 +76,7 @@
         listener = responseListener;
         requests++;
         discardingResponse = false;
+        discardedBytes = 0;
         requestWritten = false;
         channel.writeAndFlush(
                         new DefaultFullHttpRequest(
@@ -144,11 +154,26 @@
         if (message instanceof HttpResponse response && !beginResponse(response)) {
             return;
         }
-        if (message instanceof HttpContent content) {
+        if (message instanceof HttpContent content && !isDiscardedWithoutEnd(content)) {
             content(content);
         }
     }
 
+    /** Counts discarded bytes, and closes the connection if there are too many of them. */
+    private boolean isDiscardedWithoutEnd(HttpContent content) {
+        if (!discardingResponse) {
+            return false;
+        }
+        discardedBytes += content.content().readableBytes();
+        discardedBytes += content instanceof LastHttpContent ? HEAD_BYTES : 0;
+        if (discardedBytes <= MAX_DISCARDED_BYTES) {
+            return false;
+        }
+        fail("too many bytes of responses to other requests");
+        channel.close();
+        return true;
+    }
+
     /**
      * Processes a response head.
      *
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContextTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContextTest.java
@@ -92,6 +92,7 @@
                 null,
                 null,
                 null,
+                null,
                 clock,
                 null);
     }
