Accept no request in a drain that would outlast it

Cause: acceptance looked at the time since SIGTERM only.

Change: DrainAdmission, a pure function, compares the time left with the usual time of the stages and of a response of the route, at arrival and before each send. The drain moved into a class of its own, InstanceDrain.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnection.java
@@ -23,6 +23,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.sequoiaspindle.core.common.LogEvent;
+import org.sequoiaspindle.core.coordination.forwarding.DrainAdmission;
 import org.sequoiaspindle.core.state.forwarding.IngressLimits;
 import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
 
@@ -123,6 +124,11 @@
         return channel;
     }
 
+    /** Returns which requests may be executed during a drain of the instance. */
+    DrainAdmission drainAdmission() {
+        return connections.drainAdmission();
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         if (closing) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnections.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnections.java
@@ -3,6 +3,8 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import org.sequoiaspindle.core.coordination.forwarding.DrainAdmission;
 import org.sequoiaspindle.core.state.forwarding.IngressLimits;
 
 /** The open client connections and the drain state of the instance. Thread-safe. */
@@ -12,7 +14,8 @@
     private static final long MAX_BODY_BYTES = 32L * 1024 * 1024;
 
     private final Set<ClientConnection> connections = ConcurrentHashMap.newKeySet();
-    private final AtomicBoolean draining = new AtomicBoolean();
+    private final AtomicReference<DrainAdmission> drain =
+            new AtomicReference<>(DrainAdmission.NOT_DRAINING);
     private final AtomicBoolean rejectingRequests = new AtomicBoolean();
     private final MemoryBudget bodyMemory = new MemoryBudget(MAX_BODY_BYTES);
 
@@ -30,12 +33,16 @@
     }
 
     /** Makes every connection close after the response to its current request. */
-    void drain() {
-        draining.set(true);
+    void drainUntil(long stopsAt) {
+        drain.set(new DrainAdmission(stopsAt));
     }
 
     boolean isDraining() {
-        return draining.get();
+        return drain.get().isDraining();
+    }
+
+    DrainAdmission drainAdmission() {
+        return drain.get();
     }
 
     /** Rejects new requests from now on, since there is no time left to complete them. */
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardedRequest.java
@@ -110,7 +110,10 @@
         }
         admission = decision.get();
         trace.recordAdmission(admission);
-        deadlineMillis = request.receivedAt() + admission.timeoutMillis(request.metadata());
+        deadlineMillis =
+                client.drainAdmission()
+                        .limitDeadline(
+                                request.receivedAt() + admission.timeoutMillis(request.metadata()));
         replicaChoice = new ReplicaChoice(context, admission, request.metadata());
         if (!replicaChoice.isPossible()) {
             reject(RejectionReason.NO_REPLICA);
@@ -151,7 +154,7 @@
 
     private Optional<RejectionReason> findObstacle(long millisUntilSend) {
         return RequestAdmission.findObstacle(
-                context, admission, request.metadata(), millisUntilSend);
+                context, admission, request.metadata(), client.drainAdmission(), millisUntilSend);
     }
 
     private void stagesCompleted(StagePlan plan) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContext.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContext.java
@@ -22,6 +22,7 @@
  *
  * @param responseMemory memory for responses that are not passed on until they are complete
  * @param pieceTimes estimated time from the request of a piece to its result, by service
+ * @param responseTimes estimated time from sending a request to the end of the response, by route
  */
 record ForwardingContext(
         ForwardingSettings settings,
@@ -30,6 +31,7 @@
         ReplicaAnswerRecorder answerRecorder,
         ServiceRetryBudgets retryBudgets,
         DurationEstimates pieceTimes,
+        DurationEstimates responseTimes,
         FirstByteTimeEstimates firstByteTimes,
         PieceExecutor pieceExecutor,
         HandleReleaser releaser,
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -11,7 +11,6 @@
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -44,23 +43,6 @@
     /** Interval of the periodic checks of connections and replicas, in milliseconds. */
     private static final long CHECK_MS = 500;
 
-    /**
-     * Time for which requests are still accepted after the signal to stop, in milliseconds. The
-     * platform checks readiness once a second and stops sending new connections after two failed
-     * checks. It continues to send them if too few instances of a data centre are ready. Requests
-     * that arrive after this time get an error response and are not forwarded.
-     */
-    private static final long ACCEPT_AFTER_DRAIN_MS = 2_500;
-
-    /**
-     * Time before the end of a drain at which the remaining active requests are ended, in
-     * milliseconds.
-     */
-    private static final long FINAL_RESPONSES_MS = 300;
-
-    /** Interval at which a drain checks for completion, in milliseconds. */
-    private static final long DRAIN_CHECK_MS = 100;
-
     private static final String METRICS_PATH = "/metrics";
     private static final int OK = 200;
     private static final int UNAVAILABLE = 503;
@@ -147,36 +129,10 @@
      * time limit is reached.
      */
     public CompletionStage<Void> drain() {
-        CompletableFuture<Void> drained = new CompletableFuture<>();
-        events.record(LogEvent.DRAIN_STARTED, HashMap.empty());
-        connections.drain();
         registrySync.deregister();
-        long startedAt = clock.now();
-        control.loop()
-                .scheduleWithFixedDelay(
-                        () -> advanceDrain(clock.now() - startedAt, drained),
-                        DRAIN_CHECK_MS,
-                        DRAIN_CHECK_MS,
-                        TimeUnit.MILLISECONDS);
-        return drained;
-    }
-
-    private void advanceDrain(long elapsed, CompletableFuture<Void> drained) {
-        if (elapsed < ACCEPT_AFTER_DRAIN_MS) {
-            return;
-        }
-        connections.rejectNewRequests();
-        connections.closeIdle();
-        if (elapsed >= settings.drainTimeoutMillis() - FINAL_RESPONSES_MS) {
-            connections.endActiveRequests();
-        }
-        boolean complete = connections.isEmpty() || elapsed >= settings.drainTimeoutMillis();
-        if (complete && !drained.isDone()) {
-            // The process may exit on completion, which stops the log, so the event is logged
-            // first.
-            events.record(LogEvent.DRAIN_ENDED, HashMap.of("complete", connections.isEmpty()));
-            drained.complete(null);
-        }
+        return new InstanceDrain(
+                        connections, control.loop(), clock, events, settings.drainTimeoutMillis())
+                .start();
     }
 
     @Override
@@ -314,6 +270,7 @@
                         () -> registry.instances().size(),
                         clock),
                 new DurationEstimates(),
+                new DurationEstimates(),
                 new FirstByteTimeEstimates(),
                 pieceExecutor,
                 pieceExecutor,
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
@@ -51,6 +51,7 @@
     private final ReplicaStatus replicaStatus;
     private final ByteBuf bufferedBody = Unpooled.buffer(1024);
     private long reservedBytes;
+    private long sentAt;
     private OutboundConnection connection;
     private ReplicaResponseHead responseHead;
     private HttpHeaders responseFields;
@@ -86,6 +87,7 @@
             return;
         }
         connection = acquiredConnection;
+        sentAt = forwardedRequest.context().clock().now();
         forwardedRequest.recordSend();
         connection.send(head(), forwardedRequest.request().body().retainedDuplicate(), this);
     }
@@ -292,8 +294,11 @@
     private void recordSuccess() {
         replicaStatus.requestFinished();
         replicaStatus.updateHealth(health -> health.afterSuccess());
+        ForwardingContext context = forwardedRequest.context();
+        context.responseTimes()
+                .observe(forwardedRequest.route().name(), context.clock().now() - sentAt);
         if (responseHead.isSuccess()) {
-            forwardedRequest.context().crashReporter().requestServed(sharedPromptParts());
+            context.crashReporter().requestServed(sharedPromptParts());
         }
     }
 
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestAdmission.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestAdmission.java
@@ -3,9 +3,11 @@
 import io.vavr.control.Either;
 import java.util.Optional;
 import org.sequoiaspindle.core.coordination.forwarding.Admission;
+import org.sequoiaspindle.core.coordination.forwarding.DrainAdmission;
 import org.sequoiaspindle.core.coordination.forwarding.RejectionReason;
 import org.sequoiaspindle.core.coordination.forwarding.StageAdmission;
 import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
+import org.sequoiaspindle.core.state.forwarding.Route;
 
 /** Decides whether a request may be executed, and whether it may still be sent to a replica. */
 final class RequestAdmission {
@@ -56,10 +58,17 @@
             ForwardingContext context,
             Admission.Admitted admission,
             RequestMetadata metadata,
+            DrainAdmission drain,
             long millisUntilSend) {
         if (admission.keyOwner().isPresent() && !context.maySendWithKey(millisUntilSend)) {
             return Optional.of(RejectionReason.KEYS_UNCONFIRMED);
         }
+        Route route = admission.route();
+        double responseMillis =
+                context.responseTimes().typicalMaxMillis(route.name(), route.objectiveMillis());
+        if (!drain.canComplete(context.clock().now(), millisUntilSend + (long) responseMillis)) {
+            return Optional.of(RejectionReason.STOPPING);
+        }
         return context.isPromptHarmful(metadata)
                 ? Optional.of(RejectionReason.HARMFUL_PROMPT)
                 : Optional.empty();
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContextTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContextTest.java
@@ -93,6 +93,7 @@
                 null,
                 null,
                 null,
+                null,
                 clock,
                 null);
     }
