Use no connection again after a stage answer without results

Cause: answers to calls of pieces name no call, and a copy was recognised by known handles only. An answer without handles passed, and its copy shifted all later answers on the connection by one call.

Change: only an answer with a result that the replica had not returned before lets the connection be used again.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClient.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClient.java
@@ -18,8 +18,10 @@
 import org.sequoiaspindle.daemon.transport.http.HttpCallClient;
 
 /**
- * Sends the calls with which replicas execute pieces. Responses do not name their call; a late copy
- * of an earlier one is recognised by its results. Confined to the event loop of the HTTP client.
+ * Sends the calls with which replicas execute pieces. Responses do not name their call. Only a
+ * result that the replica has not returned before shows that a response is not a copy of an earlier
+ * one, so a connection is used again only after such a response. Confined to the event loop of the
+ * HTTP client.
  */
 final class ReplicaPieceClient {
 
@@ -40,7 +42,12 @@
     sealed interface Outcome {}
 
     /** The replica returned a result for every piece, in the order of the call. */
-    record Responded(List<PieceResult> results) implements Outcome {}
+    record Responded(List<PieceResult> results) implements Outcome {
+
+        private boolean hasResult() {
+            return results.stream().anyMatch(PieceResult.Completed.class::isInstance);
+        }
+    }
 
     /** No part of the call was sent. */
     record NotSent(String reason) implements Outcome {}
@@ -92,10 +99,8 @@
                 PieceCallTimeout.millis(spec, batch.pieces(), now),
                 MAX_RESPONSE_BYTES + MAX_RESULT_BYTES * batch.pieces().size(),
                 response -> {
-                    // A rejection does not name its call, so it may be a late copy of an earlier
-                    // one.
                     outcome.set(readResponse(batch, response));
-                    return outcome.get() instanceof Responded;
+                    return outcome.get() instanceof Responded responded && responded.hasResult();
                 });
     }
 
