Answer the requests that were read before a drain closes a connection

Cause: during a drain each response closes its connection, whatever has been read behind it.

Change: a response closes the connection only if nothing of a further request has been read; the last one announces the close. A request that stays incomplete is rejected at the end of the drain. The messages that wait moved into PipelinedMessages, which also bounds their bytes.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnection.java
@@ -18,8 +18,6 @@
 import io.netty.util.ReferenceCountUtil;
 import io.vavr.collection.LinkedHashMap;
 import io.vavr.control.Either;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.sequoiaspindle.core.common.LogEvent;
@@ -33,9 +31,6 @@
  */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
 
-    /** Decoded messages of pipelined requests that are queued before reading is paused. */
-    private static final int MAX_PIPELINED_MESSAGES = 64;
-
     /** Time for a client to read the response to an invalid request, in milliseconds. */
     private static final long CLOSE_DELAY_MS = 1_000;
 
@@ -46,9 +41,10 @@
     private final EventLoopWorker worker;
     private final ClientConnections connections;
     private final RequestBody body;
-    private final Deque<Object> pipelinedMessages = new ArrayDeque<>();
     private Channel channel;
     private ClientResponseWriter responseWriter;
+    private StrictRequestDecoder decoder;
+    private PipelinedMessages pipelinedMessages;
     private HttpRequest requestHead;
     private RequestMetadata metadata;
     private long headReceivedAt;
@@ -68,7 +64,11 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
-        responseWriter = new ClientResponseWriter(channel, connections::isDraining);
+        decoder = channel.pipeline().get(StrictRequestDecoder.class);
+        pipelinedMessages = new PipelinedMessages(channel);
+        responseWriter =
+                new ClientResponseWriter(
+                        channel, () -> connections.isDraining() && !hasFurtherRequest());
         lastBytesAt = context.clock().now();
         connections.add(this);
     }
@@ -108,15 +108,25 @@
 
     /** Closes the connection unless a request is active or partly received. */
     void closeIfIdle() {
-        if (activeRequest == null && requestHead == null && !headStarted) {
+        if (activeRequest == null && !hasFurtherRequest()) {
             channel.close();
         }
     }
 
-    /** Ends the active request, so that its client gets a response before the process exits. */
-    void endActiveRequest() {
+    /** Returns whether a request has been read, at least in part, behind the active one. */
+    private boolean hasFurtherRequest() {
+        return requestHead != null || !pipelinedMessages.isEmpty() || decoder.isWithinRequest();
+    }
+
+    /**
+     * Ends the active request, or rejects one that is partly received, so that its client gets a
+     * response before the process exits.
+     */
+    void endRequests() {
         if (activeRequest != null) {
             activeRequest.expire();
+        } else if (!closing && pipelinedMessages.isEmpty() && hasFurtherRequest()) {
+            reject(SERVICE_UNAVAILABLE, "the instance stops");
         }
     }
 
@@ -137,9 +147,6 @@
         }
         if (activeRequest != null) {
             pipelinedMessages.add(message);
-            if (pipelinedMessages.size() >= MAX_PIPELINED_MESSAGES) {
-                channel.config().setAutoRead(false);
-            }
             return;
         }
         handleMessage(message);
@@ -262,9 +269,13 @@
         if (close) {
             closing = true;
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
-            discardPipelined();
+            pipelinedMessages.discard();
             return;
         }
+        if (pipelinedMessages.isEmpty() && decoder.isWithinRequest()) {
+            headStarted = true;
+            headReceivedAt = lastBytesAt;
+        }
         // A separate task prevents deep recursion when many requests are pipelined.
         if (!pipelinedMessages.isEmpty()) {
             worker.loop().execute(this::processPipelined);
@@ -275,9 +286,7 @@
         while (activeRequest == null && !closing && !pipelinedMessages.isEmpty()) {
             handleMessage(pipelinedMessages.poll());
         }
-        if (pipelinedMessages.size() < MAX_PIPELINED_MESSAGES) {
-            channel.config().setAutoRead(true);
-        }
+        pipelinedMessages.resumeReading();
     }
 
     private void reject(RequestHeadValidator.Rejection rejection) {
@@ -308,11 +317,6 @@
         worker.loop().schedule(() -> channel.close(), CLOSE_DELAY_MS, TimeUnit.MILLISECONDS);
     }
 
-    private void discardPipelined() {
-        pipelinedMessages.forEach(ReferenceCountUtil::release);
-        pipelinedMessages.clear();
-    }
-
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (activeRequest != null) {
@@ -325,7 +329,7 @@
         connections.remove(this);
         requestHead = null;
         body.release();
-        discardPipelined();
+        pipelinedMessages.discard();
         if (activeRequest != null) {
             ForwardedRequest abandonedRequest = activeRequest;
             activeRequest = null;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnections.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnections.java
@@ -54,10 +54,10 @@
         return rejectingRequests.get();
     }
 
-    /** Ends all active requests as if their deadlines had passed. */
-    void endActiveRequests() {
+    /** Ends all requests in progress as if their deadlines had passed. */
+    void endRequests() {
         for (ClientConnection connection : connections) {
-            connection.channel().eventLoop().execute(connection::endActiveRequest);
+            connection.channel().eventLoop().execute(connection::endRequests);
         }
     }
 
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientResponseWriter.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientResponseWriter.java
@@ -31,17 +31,18 @@
     private static final String RETRY_AFTER_SECONDS = "0.5";
 
     private final Channel channel;
-    private final BooleanSupplier isDraining;
+    private final BooleanSupplier closesConnection;
+    private boolean closeAnnounced;
 
     /**
      * Creates a writer for a channel.
      *
-     * @param isDraining returns whether connections are closed after the response to their current
-     *     request
+     * @param closesConnection returns whether the connection is closed after the response to the
+     *     current request
      */
-    ClientResponseWriter(Channel channel, BooleanSupplier isDraining) {
+    ClientResponseWriter(Channel channel, BooleanSupplier closesConnection) {
         this.channel = channel;
-        this.isDraining = isDraining;
+        this.closesConnection = closesConnection;
     }
 
     /**
@@ -112,12 +113,13 @@
     }
 
     private boolean shouldClose(HttpRequest request) {
-        return !HttpUtil.isKeepAlive(request) || isDraining.getAsBoolean();
+        return closeAnnounced || !HttpUtil.isKeepAlive(request) || closesConnection.getAsBoolean();
     }
 
-    private static void setConnectionHeader(
+    private void setConnectionHeader(
             HttpRequest request, HttpHeaders fields, boolean closeAfterResponse) {
         if (closeAfterResponse) {
+            closeAnnounced = true;
             fields.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         } else if (!request.protocolVersion().isKeepAliveDefault()) {
             fields.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/InstanceDrain.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/InstanceDrain.java
@@ -75,7 +75,7 @@
         connections.rejectNewRequests();
         connections.closeIdle();
         if (elapsed >= timeoutMillis - FINAL_RESPONSES_MS) {
-            connections.endActiveRequests();
+            connections.endRequests();
         }
         boolean complete = connections.isEmpty() || elapsed >= timeoutMillis;
         if (complete && !drained.isDone()) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/StrictRequestDecoder.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/StrictRequestDecoder.java
@@ -1,7 +1,11 @@
 package org.sequoiaspindle.daemon.transport.forwarding;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
 
 /**
  * Request decoder that rejects requests with both a length and chunked encoding. The standard
@@ -9,10 +13,27 @@
  */
 final class StrictRequestDecoder extends HttpRequestDecoder {
 
+    private boolean decodedPart;
+
     StrictRequestDecoder(int maxInitialLineLength, int maxHeaderSize, int maxChunkSize) {
         super(maxInitialLineLength, maxHeaderSize, maxChunkSize);
     }
 
+    /** Returns whether bytes of a request have been received, but not all of them. */
+    boolean isWithinRequest() {
+        return decodedPart || actualReadableBytes() > 0;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
+            throws Exception {
+        int start = in.readerIndex();
+        super.decode(ctx, in, out);
+        if (in.readerIndex() > start) {
+            decodedPart = out.isEmpty() || !(out.get(out.size() - 1) instanceof LastHttpContent);
+        }
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException(
