Never block on standard output or standard error

Cause: the log's queues drop events, but Log4j reports that on standard error, on the event loop that logs.

Change: both streams of the process are replaced by ones that never block; dropped writes are counted in a metric and reported by event 109 once the output is read again. An exit does not wait for a reader.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/DaemonMain.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/DaemonMain.java
@@ -17,6 +17,7 @@
 import org.sequoiaspindle.daemon.protocol.settings.SettingsProblem;
 import org.sequoiaspindle.daemon.state.EntrySettings;
 import org.sequoiaspindle.daemon.transport.telemetry.LogEventWriter;
+import org.sequoiaspindle.daemon.transport.telemetry.StandardStreams;
 import org.sequoiaspindle.daemon.transport.wiring.EntryInstance;
 
 /**
@@ -27,10 +28,14 @@
     private static final int EXIT_USAGE = 2;
     private static final int EXIT_INTERNAL_ERROR = 70;
 
+    /** Time for which an exit waits until each output has been written, in milliseconds. */
+    private static final long OUTPUT_TIMEOUT_MS = 200;
+
     private DaemonMain() {}
 
     /** Runs the daemon until it is terminated. */
     public static void main(String[] arguments) throws InterruptedException {
+        StandardStreams streams = StandardStreams.install();
         OptionParser parser = new OptionParser();
         OptionSpec<String> file =
                 parser.accepts("settings", "settings file, JSON with comments")
@@ -38,15 +43,27 @@
                         .required();
         try {
             OptionSet options = parser.parse(arguments);
-            run(Path.of(options.valueOf(file)));
+            run(Path.of(options.valueOf(file)), streams);
         } catch (OptionException e) {
             System.err.println(e.getMessage() + "; usage: sequoiaspindled --settings FILE");
-            System.exit(EXIT_USAGE);
+            exit(streams, EXIT_USAGE);
+        }
+    }
+
+    /** Exits without waiting for an output that is not read. */
+    private static void exit(StandardStreams streams, int status) {
+        try {
+            streams.drain(OUTPUT_TIMEOUT_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
+        Runtime.getRuntime().halt(status);
     }
 
-    private static void run(Path file) throws InterruptedException {
+    private static void run(Path file, StandardStreams streams) throws InterruptedException {
         LogEventWriter events = LogEventWriter.createAtLevel(LogEvent.Level.INFO);
+        streams.onRecovered(
+                writes -> events.record(LogEvent.OUTPUT_DROPPED, HashMap.of("writes", writes)));
         Either<Vector<SettingsProblem>, EntrySettings> settings =
                 readText(file)
                         .mapLeft(reason -> Vector.of(new SettingsProblem(1, "", reason)))
@@ -58,7 +75,7 @@
             settings.getLeft().forEach(problem -> logInvalid(events, file, problem));
             // The log is asynchronous; queued lines would be lost at exit.
             events.close();
-            System.exit(EXIT_USAGE);
+            exit(streams, EXIT_USAGE);
         }
         Thread.setDefaultUncaughtExceptionHandler(
                 (thread, failure) -> {
@@ -67,7 +84,7 @@
                             HashMap.of("thread", thread.getName(), "failure", failure.toString()));
                     failure.printStackTrace();
                     events.close();
-                    Runtime.getRuntime().halt(EXIT_INTERNAL_ERROR);
+                    exit(streams, EXIT_INTERNAL_ERROR);
                 });
         LogEventWriter.createAtLevel(settings.get().logLevel());
         EntryInstance instance = EntryInstance.start(settings.get(), events);
@@ -82,7 +99,7 @@
                                     stopped.countDown();
                                     // A JVM stopped by a signal exits with 128 + the number of the
                                     // signal, but a complete drain is a success.
-                                    Runtime.getRuntime().halt(0);
+                                    exit(streams, 0);
                                 },
                                 "drain"));
         stopped.await();
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.sequoiaspindle.core.common.Closer;
 import org.sequoiaspindle.core.common.EventLog;
@@ -74,9 +75,14 @@
     private HostPort clientAddress;
     private HostPort readinessAddress;
 
-    private ForwardingInstance(ForwardingSettings settings, Adapter adapter, EventLog events) {
+    private ForwardingInstance(
+            ForwardingSettings settings,
+            Adapter adapter,
+            EventLog events,
+            LongSupplier droppedWrites) {
         this.settings = settings;
         this.events = events;
+        metrics.countDroppedWrites(droppedWrites);
         loops =
                 new MultiThreadIoEventLoopGroup(
                         settings.eventLoops(),
@@ -116,10 +122,16 @@
 
     /**
      * Starts an instance, which reports ready once it has read a configuration and the replicas.
+     *
+     * @param droppedWrites returns the number of writes to the output that were dropped
      */
     public static ForwardingInstance start(
-            ForwardingSettings settings, Adapter adapter, EventLog events) {
-        ForwardingInstance instance = new ForwardingInstance(settings, adapter, events);
+            ForwardingSettings settings,
+            Adapter adapter,
+            EventLog events,
+            LongSupplier droppedWrites) {
+        ForwardingInstance instance =
+                new ForwardingInstance(settings, adapter, events, droppedWrites);
         instance.open();
         return instance;
     }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingMain.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingMain.java
@@ -13,11 +13,15 @@
 import org.sequoiaspindle.daemon.protocol.settings.SettingsProblem;
 import org.sequoiaspindle.daemon.state.ForwardingSettings;
 import org.sequoiaspindle.daemon.transport.telemetry.LogEventWriter;
+import org.sequoiaspindle.daemon.transport.telemetry.StandardStreams;
 import sun.misc.Signal;
 
 /** Runs a forwarding instance as a process: reads settings, handles signals and exits. */
 public final class ForwardingMain {
 
+    /** Time for which an exit waits until each output has been written, in milliseconds. */
+    private static final long OUTPUT_TIMEOUT_MS = 200;
+
     private static final int EXIT_USAGE = 2;
     private static final int EXIT_INTERNAL_ERROR = 70;
 
@@ -33,7 +37,10 @@
             Either<String, Path> file,
             Function<ForwardingSettings, ForwardingInstance.Adapter> adapter)
             throws InterruptedException {
+        StandardStreams streams = StandardStreams.install();
         LogEventWriter events = LogEventWriter.createAtLevel(LogEvent.Level.INFO);
+        streams.onRecovered(
+                writes -> events.record(LogEvent.OUTPUT_DROPPED, HashMap.of("writes", writes)));
         Either<Vector<SettingsProblem>, ForwardingSettings> settings = readSettings(file);
         if (settings.isLeft()) {
             settings.getLeft()
@@ -46,7 +53,7 @@
                                                     "line", problem.line(),
                                                     "field", problem.field(),
                                                     "problem", problem.message())));
-            exit(events, EXIT_USAGE);
+            exit(events, streams, EXIT_USAGE);
         }
         Thread.setDefaultUncaughtExceptionHandler(
                 (thread, failure) -> {
@@ -54,22 +61,34 @@
                             LogEvent.INVARIANT_BROKEN,
                             HashMap.of("thread", thread.getName(), "failure", failure.toString()));
                     failure.printStackTrace();
-                    exit(events, EXIT_INTERNAL_ERROR);
+                    exit(events, streams, EXIT_INTERNAL_ERROR);
                 });
         LogEventWriter.createAtLevel(settings.get().logLevel());
         CountDownLatch terminated = new CountDownLatch(1);
         Signal.handle(new Signal("TERM"), signal -> terminated.countDown());
         Signal.handle(new Signal("HUP"), signal -> reload(file, settings.get(), events));
         ForwardingInstance instance =
-                ForwardingInstance.start(settings.get(), adapter.apply(settings.get()), events);
+                ForwardingInstance.start(
+                        settings.get(),
+                        adapter.apply(settings.get()),
+                        events,
+                        streams::droppedWrites);
         terminated.await();
         instance.drain().toCompletableFuture().join();
-        exit(events, 0);
+        exit(events, streams, 0);
     }
 
-    /** Flushes the log before the process exits, so that the reason for the exit is logged. */
-    private static void exit(LogEventWriter events, int status) {
+    /**
+     * Flushes the log before the process exits, so that the reason for the exit is logged. An output
+     * that is not read does not delay the exit.
+     */
+    private static void exit(LogEventWriter events, StandardStreams streams, int status) {
         events.close();
+        try {
+            streams.drain(OUTPUT_TIMEOUT_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         Runtime.getRuntime().halt(status);
     }
 
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
@@ -1,6 +1,7 @@
 package org.sequoiaspindle.daemon.transport.telemetry;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -8,6 +9,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.function.LongSupplier;
 import org.sequoiaspindle.core.protocol.relay.RelayedStore;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.protocol.store.StoreCommand;
@@ -62,6 +64,15 @@
                     .help("Forwarded requests in flight")
                     .register(registry);
 
+    /** Exposes the number of writes to the output that were dropped because nobody read it. */
+    public void countDroppedWrites(LongSupplier droppedWrites) {
+        CounterWithCallback.builder()
+                .name("sequoiaspindle_output_writes_dropped")
+                .help("Writes to standard output and error that were dropped")
+                .callback(callback -> callback.call(droppedWrites.getAsLong()))
+                .register(registry);
+    }
+
     public void recordRequestStart() {
         inFlightRequests.inc();
     }
