Handle signals from the first instruction of a process on

Operators saw: SIGHUP in the first 0.3 s of a process ended it (review, further faults).

Cause: the handlers were installed after the log and the settings.

Change: ProcessSignals installs them first. A reload that is asked for during the start is done after it, and a SIGTERM is not lost. Before main runs, the JVM's own handling applies.

Evidence: ProcessSignalsTest holds the order without signals; that a process survives SIGHUP at its start was not run.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingMain.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingMain.java
@@ -6,7 +6,6 @@
 import io.vavr.control.Try;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.concurrent.CountDownLatch;
 import java.util.function.Function;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.daemon.protocol.settings.ForwardingSettingsReader;
@@ -14,7 +13,6 @@
 import org.sequoiaspindle.daemon.state.ForwardingSettings;
 import org.sequoiaspindle.daemon.transport.telemetry.LogEventWriter;
 import org.sequoiaspindle.daemon.transport.telemetry.StandardStreams;
-import sun.misc.Signal;
 
 /** Runs a forwarding instance as a process: reads settings, handles signals and exits. */
 public final class ForwardingMain {
@@ -37,6 +35,7 @@
             Either<String, Path> file,
             Function<ForwardingSettings, ForwardingInstance.Adapter> adapter)
             throws InterruptedException {
+        ProcessSignals signals = ProcessSignals.install();
         StandardStreams streams = StandardStreams.install();
         LogEventWriter events = LogEventWriter.createAtLevel(LogEvent.Level.INFO);
         streams.onRecovered(
@@ -64,23 +63,21 @@
                     exit(events, streams, EXIT_INTERNAL_ERROR);
                 });
         LogEventWriter.createAtLevel(settings.get().logLevel());
-        CountDownLatch terminated = new CountDownLatch(1);
-        Signal.handle(new Signal("TERM"), signal -> terminated.countDown());
-        Signal.handle(new Signal("HUP"), signal -> reload(file, settings.get(), events));
         ForwardingInstance instance =
                 ForwardingInstance.start(
                         settings.get(),
                         adapter.apply(settings.get()),
                         events,
                         streams::droppedWrites);
-        terminated.await();
+        signals.onReload(() -> reload(file, settings.get(), events));
+        signals.awaitTermination();
         instance.drain().toCompletableFuture().join();
         exit(events, streams, 0);
     }
 
     /**
-     * Flushes the log before the process exits, so that the reason for the exit is logged. An output
-     * that is not read does not delay the exit.
+     * Flushes the log before the process exits, so that the reason for the exit is logged. An
+     * output that is not read does not delay the exit.
      */
     private static void exit(LogEventWriter events, StandardStreams streams, int status) {
         events.close();
