Watch from the oldest page of a listing on

Cause: pages are shared between instances for 200 ms, so the first page can be newer than the second one, and changes were watched from the first one on.

Change: the watch starts at the lowest revision of all pages. Items keep their revisions, so a change that a page has already is not undone.

Evidence: RegistryWatcherTest.changeThatOnlyAnOlderPageLacksIsNotMissed fails on (1000 replicas instead of 999) and passes now.

--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcher.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcher.java
@@ -152,7 +152,7 @@
     }
 
     /**
-     * Lists replicas, instances and evidence of crashes, then watches for changes since the first
+     * Lists replicas, instances and evidence of crashes, then watches for changes since the oldest
      * page was read.
      */
     private void listAll() {
@@ -180,7 +180,7 @@
                 new Listing(number, CrashEvidenceKeys.PREFIX, Vector.empty(), revision),
                 crashes -> {
                     registry.replaceCrashes(crashes.items().asJava());
-                    watchedRevision.set(revision);
+                    watchedRevision.set(crashes.revision());
                     watch(number);
                 });
     }
@@ -189,7 +189,8 @@
      * Pages of a listing read so far.
      *
      * @param listingNumber number of the listing
-     * @param revision store revision at the first page, 0 before the first page has been read
+     * @param revision lowest store revision of a page, 0 before the first page has been read; pages
+     *     are shared between instances, so a later page may be older than the first one
      */
     private record Listing(
             long listingNumber, String prefix, Vector<StoreChange.Written> items, long revision) {
@@ -203,7 +204,7 @@
                     listingNumber,
                     prefix,
                     items.appendAll(page.items()),
-                    revision == 0 ? page.revision() : revision);
+                    revision == 0 ? page.revision() : Math.min(revision, page.revision()));
         }
     }
 
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcherTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcherTest.java
@@ -7,6 +7,7 @@
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -33,6 +34,9 @@
     /** Time within which an instance that reaches the store must drop a removed replica. */
     private static final long REMOVAL_TIMEOUT_MS = 2_000;
 
+    /** About the number of items that the platform's store lists at once. */
+    private static final int PAGE_SIZE = 500;
+
     private static final ForwardingTable TABLE =
             new ForwardingTable(7, List.of(), List.of(), IngressLimits.DEFAULT, Map.of(), false);
 
@@ -116,6 +120,25 @@
         assertTrue(registry.replicas().all().isEmpty());
     }
 
+    /**
+     * Guards against missing a change between the pages of a listing: pages are shared between
+     * instances, so the first page can be newer than the second one.
+     */
+    @Test
+    void changeThatOnlyAnOlderPageLacksIsNotMissed() {
+        store.pageSize = PAGE_SIZE;
+        for (int number = 0; number < 2 * PAGE_SIZE; number++) {
+            store.write("replicas/%04d".formatted(number), "ready");
+        }
+        String last = "replicas/%04d".formatted(2 * PAGE_SIZE - 1);
+        store.keepPagesAfter("replicas/%04d".formatted(PAGE_SIZE - 1));
+        store.remove(last);
+        watcher.start(0);
+        time.advance(100);
+        store.completeWatches();
+        assertEquals(2 * PAGE_SIZE - 1, registry.replicas().all().size());
+    }
+
     private void startWithReplica() {
         store.write("op/config", "any");
         store.write("replicas/one", "one");
@@ -161,6 +184,8 @@
         private int replicaListings;
         private boolean listsReplicas = true;
         private boolean reachable = true;
+        private int pageSize = Integer.MAX_VALUE;
+        private final Map<String, StoreResult> keptPages = new HashMap<>();
 
         private record Watch(long after, CompletableFuture<StoreResult> result) {}
 
@@ -176,6 +201,20 @@
             history.add(new StoreChange.Removed(key, ++revision));
         }
 
+        /** Keeps the page of the replicas after a key as it is now, as if it was read before. */
+        void keepPagesAfter(String key) {
+            keptPages.put(key, page(new StoreCommand.ListItems("replicas/", key)));
+        }
+
+        private StoreResult page(StoreCommand.ListItems list) {
+            Vector<StoreChange.Written> matchingItems =
+                    Vector.ofAll(items.values())
+                            .filter(item -> item.key().startsWith(list.prefix()))
+                            .filter(item -> item.key().compareTo(list.after()) > 0);
+            return new StoreResult.Listed(
+                    matchingItems.take(pageSize), matchingItems.size() > pageSize, revision);
+        }
+
         void completeWatches() {
             List<Watch> pendingWatches = List.copyOf(watches);
             watches.clear();
@@ -199,11 +238,8 @@
                             new StoreResult.Unavailable("not now"));
                 }
                 replicaListings += isReplicaListing ? 1 : 0;
-                Vector<StoreChange.Written> matchingItems =
-                        Vector.ofAll(items.values())
-                                .filter(item -> item.key().startsWith(list.prefix()));
-                return CompletableFuture.completedFuture(
-                        new StoreResult.Listed(matchingItems, false, revision));
+                StoreResult page = isReplicaListing ? keptPages.get(list.after()) : null;
+                return CompletableFuture.completedFuture(page == null ? page(list) : page);
             }
             if (command instanceof StoreCommand.AwaitChanges watch) {
                 CompletableFuture<StoreResult> result = new CompletableFuture<>();
