Reject messages whose end recipients may find at different places

Cause: a transfer coding was rejected only together with a length; the decoder takes other codings for no body.

Change: MessageFraming, a pure function, accepts one length, or exactly one chunked on HTTP/1.1. Requests get 400 or 501 and a close; responses of replicas that are not clear are no responses. The strict decoders are now beside each other in transport.http.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnection.java
@@ -24,6 +24,7 @@
 import org.sequoiaspindle.core.coordination.forwarding.DrainAdmission;
 import org.sequoiaspindle.core.state.forwarding.IngressLimits;
 import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
+import org.sequoiaspindle.daemon.transport.http.StrictRequestDecoder;
 
 /**
  * A client's connection. Reads complete requests one after the other and writes the responses.
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ListenerSockets.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ListenerSockets.java
@@ -18,6 +18,7 @@
 import java.util.function.Supplier;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
 import org.sequoiaspindle.core.state.forwarding.IngressLimits;
+import org.sequoiaspindle.daemon.transport.http.StrictRequestDecoder;
 
 /** Opens the listening sockets of an instance. */
 final class ListenerSockets {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestHeadValidator.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestHeadValidator.java
@@ -1,13 +1,13 @@
 package org.sequoiaspindle.daemon.transport.forwarding;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import java.util.Optional;
 import org.sequoiaspindle.core.state.forwarding.IngressLimits;
+import org.sequoiaspindle.daemon.transport.http.MessageFraming;
 
 /** Validates request heads. */
 final class RequestHeadValidator {
@@ -16,6 +16,7 @@
 
     private static final int CONTENT_TOO_LARGE = 413;
     private static final int HEADER_TOO_LARGE = 431;
+    private static final int NOT_IMPLEMENTED = 501;
 
     /**
      * Why a request is rejected.
@@ -31,10 +32,9 @@
         if (request.decoderResult().isFailure()) {
             return Optional.of(undecodable(request.decoderResult().cause(), limits));
         }
-        if (hasAmbiguousFraming(request.headers())) {
-            return Optional.of(
-                    new Rejection(
-                            BAD_REQUEST, "the length or the host of the request is ambiguous"));
+        Optional<Rejection> ambiguity = findAmbiguity(request);
+        if (ambiguity.isPresent()) {
+            return ambiguity;
         }
         return HttpUtil.getContentLength(request, 0L) > limits.maxBodyBytes()
                 ? Optional.of(longBody(limits))
@@ -59,15 +59,23 @@
     }
 
     /**
-     * Returns whether servers could disagree on the length or the host of the request, which would
-     * permit request smuggling. Such a request has several lengths, a length together with chunked
-     * encoding, or not exactly one host.
+     * Returns why servers could read the request in different ways, which would permit request
+     * smuggling.
      */
-    private static boolean hasAmbiguousFraming(HttpHeaders fields) {
-        int lengths = fields.getAll(HttpHeaderNames.CONTENT_LENGTH).size();
-        boolean chunked = fields.contains(HttpHeaderNames.TRANSFER_ENCODING);
-        return lengths > 1
-                || (lengths > 0 && chunked)
-                || fields.getAll(HttpHeaderNames.HOST).size() != 1;
+    private static Optional<Rejection> findAmbiguity(HttpRequest request) {
+        MessageFraming.Result framing = MessageFraming.of(request);
+        if (framing == MessageFraming.Result.AMBIGUOUS) {
+            return Optional.of(
+                    new Rejection(BAD_REQUEST, "the length of the request is ambiguous"));
+        }
+        if (framing == MessageFraming.Result.UNSUPPORTED_CODING) {
+            return Optional.of(
+                    new Rejection(
+                            NOT_IMPLEMENTED, "the only supported transfer coding is chunked"));
+        }
+        return request.headers().getAll(HttpHeaderNames.HOST).size() == 1
+                ? Optional.empty()
+                : Optional.of(
+                        new Rejection(BAD_REQUEST, "the request does not have exactly one host"));
     }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ConnectionPool.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ConnectionPool.java
@@ -8,7 +8,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -171,7 +170,7 @@
         channel.pipeline()
                 .addLast(new HttpRequestEncoder())
                 .addLast(
-                        new HttpResponseDecoder(
+                        new StrictResponseDecoder(
                                 MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
                 .addLast(
                         new OutboundConnection(
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
@@ -184,6 +184,11 @@
             discardingResponse = true;
             return true;
         }
+        if (MessageFraming.of(response) != MessageFraming.Result.CLEAR) {
+            fail("response whose length is ambiguous or whose transfer coding is not supported");
+            channel.close();
+            return false;
+        }
         reusable = HttpUtil.isKeepAlive(response) && hasDelimitedBody(response);
         idleLimitMillis = KeepAlive.idleLimitMillis(response);
         discardingResponse = !listener.head(response);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/StrictRequestDecoder.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictRequestDecoder.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.http;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
@@ -11,16 +11,17 @@
  * Request decoder that rejects requests with both a length and chunked encoding. The standard
  * decoder ignores the length, although a proxy in front of this server may have relied on it.
  */
-final class StrictRequestDecoder extends HttpRequestDecoder {
+public final class StrictRequestDecoder extends HttpRequestDecoder {
 
     private boolean decodedPart;
 
-    StrictRequestDecoder(int maxInitialLineLength, int maxHeaderSize, int maxChunkSize) {
+    /** Creates a decoder with limits in bytes. */
+    public StrictRequestDecoder(int maxInitialLineLength, int maxHeaderSize, int maxChunkSize) {
         super(maxInitialLineLength, maxHeaderSize, maxChunkSize);
     }
 
     /** Returns whether bytes of a request have been received, but not all of them. */
-    boolean isWithinRequest() {
+    public boolean isWithinRequest() {
         return decodedPart || actualReadableBytes() > 0;
     }
 
