Reject targets with bytes that would not be the same at the replica

Cause: the decoder reads the bytes as Latin-1 characters, and the encoder writes them as UTF-8.

Change: a target with other than visible ASCII characters gets 400; such bytes are percent-encoded in sound requests, which pass unchanged.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestHeadValidator.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestHeadValidator.java
@@ -17,6 +17,8 @@
     private static final int CONTENT_TOO_LARGE = 413;
     private static final int HEADER_TOO_LARGE = 431;
     private static final int NOT_IMPLEMENTED = 501;
+    private static final char FIRST_VISIBLE = '!';
+    private static final char LAST_VISIBLE = '~';
 
     /**
      * Why a request is rejected.
@@ -73,9 +75,18 @@
                     new Rejection(
                             NOT_IMPLEMENTED, "the only supported transfer coding is chunked"));
         }
-        return request.headers().getAll(HttpHeaderNames.HOST).size() == 1
+        if (request.headers().getAll(HttpHeaderNames.HOST).size() != 1) {
+            return Optional.of(
+                    new Rejection(BAD_REQUEST, "the request does not have exactly one host"));
+        }
+        // Other bytes would not be the same when the target is written again.
+        boolean isVisible =
+                request.uri().chars().allMatch(c -> c >= FIRST_VISIBLE && c <= LAST_VISIBLE);
+        return isVisible
                 ? Optional.empty()
                 : Optional.of(
-                        new Rejection(BAD_REQUEST, "the request does not have exactly one host"));
+                        new Rejection(
+                                BAD_REQUEST,
+                                "the target contains bytes that are not percent-encoded"));
     }
 }
