Heed a pause that a rejection without an identifier asks for

Cause: such a response is given up, because it may be a late copy, before what it says of the replica is recorded.

Change: it is recorded first; the request still counts as unknown.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
@@ -176,6 +176,8 @@
             return false;
         }
         if (parsedHead.requestId().isEmpty() && connection.isReused()) {
+            // It may be a late copy, but what it says of the replica holds for all requests.
+            forwardedRequest.context().answerRecorder().record(replica, parsedHead);
             connection.abort();
             failed("response without an identifier on a connection in use again");
             return true;
