--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/NonBlockingOutput.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/NonBlockingOutput.java
@@ -1,7 +1,10 @@
 package org.sequoiaspindle.daemon.transport.telemetry;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.OutputStream;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CountDownLatch;
@@ -23,6 +26,9 @@
     /** Maximum number of queued writes; a log event is one write. */
     private static final int MAX_QUEUED_WRITES = 8_192;
 
+    /** Maximum number of writes that are passed on together. */
+    private static final int MAX_BATCH = 64;
+
     /** Bytes to write, and what to do afterwards. */
     private record Entry(byte[] bytes, Runnable afterwards) {}
 
@@ -74,7 +80,7 @@
         if (queuedBytes.addAndGet(length) > MAX_QUEUED_BYTES
                 || !queue.offer(new Entry(copy, () -> {}))) {
             queuedBytes.addAndGet(-length);
-            recordDropped();
+            recordDropped(1);
         }
     }
 
@@ -94,32 +100,41 @@
         }
     }
 
-    private void recordDropped() {
-        droppedWrites.incrementAndGet();
-        unreportedWrites.incrementAndGet();
+    private void recordDropped(long writes) {
+        droppedWrites.addAndGet(writes);
+        unreportedWrites.addAndGet(writes);
     }
 
     private void passOn() {
+        List<Entry> batch = new ArrayList<>(MAX_BATCH);
         while (true) {
             try {
-                Entry entry = queue.take();
-                writeToTarget(entry.bytes());
-                queuedBytes.addAndGet(-entry.bytes().length);
-                entry.afterwards().run();
+                batch.add(queue.take());
+                queue.drainTo(batch, MAX_BATCH - 1);
+                writeBatch(batch);
+                batch.clear();
             } catch (InterruptedException e) {
                 return;
             }
         }
     }
 
-    private void writeToTarget(byte[] bytes) {
+    /** Writes the bytes of all entries together, which saves system calls. */
+    private void writeBatch(List<Entry> batch) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        batch.forEach(entry -> bytes.writeBytes(entry.bytes()));
         try {
-            target.write(bytes);
+            bytes.writeTo(target);
             target.flush();
+            reportRecovery();
         } catch (IOException e) {
-            recordDropped();
-            return;
+            recordDropped(batch.stream().filter(entry -> entry.bytes().length > 0).count());
         }
+        queuedBytes.addAndGet(-bytes.size());
+        batch.forEach(entry -> entry.afterwards().run());
+    }
+
+    private void reportRecovery() {
         long dropped = unreportedWrites.getAndSet(0);
         if (dropped > 0) {
             onRecovered.accept(dropped);
