Count dropped log events in place of a second thread for the log

The instances have 0.12 cores there; the requests had waited over a second before they were read.

Suspected cause: processor time. Replacing standard output put a second thread, with a copy and a wake-up, on the way of each log event.

Change: standard output is as before; the queues of the log report what they drop to DroppedEvents, which counts it, instead of to standard error. Standard error alone is replaced. The end of the log waits at most 0.3 s. PieceQueue groups pieces without streams.

Evidence: NonBlockingOutputTest, TelemetryTest, PlatformMainTest and DaemonMainTest pass.

--- a/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
+++ b/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
@@ -12,7 +12,7 @@
     SETTINGS_INVALID(105, Level.ERROR, "settings are invalid"),
     INVARIANT_BROKEN(106, Level.ERROR, "invariant violated; the process stops"),
     SETTINGS_RELOADED(108, Level.INFO, "settings reloaded"),
-    OUTPUT_DROPPED(109, Level.WARN, "output was not read; writes were dropped"),
+    OUTPUT_DROPPED(109, Level.WARN, "output was not read; lines were dropped"),
     NO_CONFIGURATION(107, Level.WARN, "no configuration from the store or any peer yet"),
     CONFIGURATION_ADOPTED(201, Level.INFO, "configuration adopted"),
     CONFIGURATION_OLDER_IGNORED(202, Level.WARN, "older configuration ignored"),
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/PieceQueue.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/PieceQueue.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
-import java.util.stream.Collectors;
 
 /**
  * Pending pieces of one service, grouped by request and stage. The groups are kept in the order in
@@ -74,7 +73,11 @@
     }
 
     private static Map<GroupId, List<Piece>> byGroup(Collection<Piece> pieces) {
-        return pieces.stream().collect(Collectors.groupingBy(GroupId::of));
+        Map<GroupId, List<Piece>> piecesByGroup = new HashMap<>();
+        for (Piece piece : pieces) {
+            piecesByGroup.computeIfAbsent(GroupId.of(piece), id -> new ArrayList<>()).add(piece);
+        }
+        return piecesByGroup;
     }
 
     private void addToGroup(GroupId id, List<Piece> added) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/DaemonMain.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/DaemonMain.java
@@ -17,7 +17,7 @@
 import org.sequoiaspindle.daemon.protocol.settings.SettingsProblem;
 import org.sequoiaspindle.daemon.state.EntrySettings;
 import org.sequoiaspindle.daemon.transport.telemetry.LogEventWriter;
-import org.sequoiaspindle.daemon.transport.telemetry.StandardStreams;
+import org.sequoiaspindle.daemon.transport.telemetry.StandardError;
 import org.sequoiaspindle.daemon.transport.wiring.EntryInstance;
 
 /**
@@ -28,14 +28,11 @@
     private static final int EXIT_USAGE = 2;
     private static final int EXIT_INTERNAL_ERROR = 70;
 
-    /** Time for which an exit waits until each output has been written, in milliseconds. */
-    private static final long OUTPUT_TIMEOUT_MS = 200;
-
     private DaemonMain() {}
 
     /** Runs the daemon until it is terminated. */
     public static void main(String[] arguments) throws InterruptedException {
-        StandardStreams streams = StandardStreams.install();
+        StandardError standardError = StandardError.install();
         OptionParser parser = new OptionParser();
         OptionSpec<String> file =
                 parser.accepts("settings", "settings file, JSON with comments")
@@ -43,27 +40,15 @@
                         .required();
         try {
             OptionSet options = parser.parse(arguments);
-            run(Path.of(options.valueOf(file)), streams);
+            run(Path.of(options.valueOf(file)), standardError);
         } catch (OptionException e) {
             System.err.println(e.getMessage() + "; usage: sequoiaspindled --settings FILE");
-            exit(streams, EXIT_USAGE);
-        }
-    }
-
-    /** Exits without waiting for an output that is not read. */
-    private static void exit(StandardStreams streams, int status) {
-        try {
-            streams.drain(OUTPUT_TIMEOUT_MS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            standardError.exit(EXIT_USAGE);
         }
-        Runtime.getRuntime().halt(status);
     }
 
-    private static void run(Path file, StandardStreams streams) throws InterruptedException {
+    private static void run(Path file, StandardError standardError) throws InterruptedException {
         LogEventWriter events = LogEventWriter.createAtLevel(LogEvent.Level.INFO);
-        streams.onRecovered(
-                writes -> events.record(LogEvent.OUTPUT_DROPPED, HashMap.of("writes", writes)));
         Either<Vector<SettingsProblem>, EntrySettings> settings =
                 readText(file)
                         .mapLeft(reason -> Vector.of(new SettingsProblem(1, "", reason)))
@@ -75,7 +60,7 @@
             settings.getLeft().forEach(problem -> logInvalid(events, file, problem));
             // The log is asynchronous; queued lines would be lost at exit.
             events.close();
-            exit(streams, EXIT_USAGE);
+            standardError.exit(EXIT_USAGE);
         }
         Thread.setDefaultUncaughtExceptionHandler(
                 (thread, failure) -> {
@@ -84,7 +69,7 @@
                             HashMap.of("thread", thread.getName(), "failure", failure.toString()));
                     failure.printStackTrace();
                     events.close();
-                    exit(streams, EXIT_INTERNAL_ERROR);
+                    standardError.exit(EXIT_INTERNAL_ERROR);
                 });
         LogEventWriter.createAtLevel(settings.get().logLevel());
         EntryInstance instance = EntryInstance.start(settings.get(), events);
@@ -99,7 +84,7 @@
                                     stopped.countDown();
                                     // A JVM stopped by a signal exits with 128 + the number of the
                                     // signal, but a complete drain is a success.
-                                    exit(streams, 0);
+                                    standardError.exit(0);
                                 },
                                 "drain"));
         stopped.await();
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -79,10 +79,10 @@
             ForwardingSettings settings,
             Adapter adapter,
             EventLog events,
-            LongSupplier droppedWrites) {
+            LongSupplier droppedLines) {
         this.settings = settings;
         this.events = events;
-        metrics.countDroppedWrites(droppedWrites);
+        metrics.countDroppedLines(droppedLines);
         loops =
                 new MultiThreadIoEventLoopGroup(
                         settings.eventLoops(),
@@ -123,15 +123,15 @@
     /**
      * Starts an instance, which reports ready once it has read a configuration and the replicas.
      *
-     * @param droppedWrites returns the number of writes to the output that were dropped
+     * @param droppedLines returns the number of lines of the log that were dropped
      */
     public static ForwardingInstance start(
             ForwardingSettings settings,
             Adapter adapter,
             EventLog events,
-            LongSupplier droppedWrites) {
+            LongSupplier droppedLines) {
         ForwardingInstance instance =
-                new ForwardingInstance(settings, adapter, events, droppedWrites);
+                new ForwardingInstance(settings, adapter, events, droppedLines);
         instance.open();
         return instance;
     }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingMain.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingMain.java
@@ -12,14 +12,11 @@
 import org.sequoiaspindle.daemon.protocol.settings.SettingsProblem;
 import org.sequoiaspindle.daemon.state.ForwardingSettings;
 import org.sequoiaspindle.daemon.transport.telemetry.LogEventWriter;
-import org.sequoiaspindle.daemon.transport.telemetry.StandardStreams;
+import org.sequoiaspindle.daemon.transport.telemetry.StandardError;
 
 /** Runs a forwarding instance as a process: reads settings, handles signals and exits. */
 public final class ForwardingMain {
 
-    /** Time for which an exit waits until each output has been written, in milliseconds. */
-    private static final long OUTPUT_TIMEOUT_MS = 200;
-
     private static final int EXIT_USAGE = 2;
     private static final int EXIT_INTERNAL_ERROR = 70;
 
@@ -36,10 +33,8 @@
             Function<ForwardingSettings, ForwardingInstance.Adapter> adapter)
             throws InterruptedException {
         ProcessSignals signals = ProcessSignals.install();
-        StandardStreams streams = StandardStreams.install();
+        StandardError standardError = StandardError.install();
         LogEventWriter events = LogEventWriter.createAtLevel(LogEvent.Level.INFO);
-        streams.onRecovered(
-                writes -> events.record(LogEvent.OUTPUT_DROPPED, HashMap.of("writes", writes)));
         Either<Vector<SettingsProblem>, ForwardingSettings> settings = readSettings(file);
         if (settings.isLeft()) {
             settings.getLeft()
@@ -52,7 +47,7 @@
                                                     "line", problem.line(),
                                                     "field", problem.field(),
                                                     "problem", problem.message())));
-            exit(events, streams, EXIT_USAGE);
+            exit(events, standardError, EXIT_USAGE);
         }
         Thread.setDefaultUncaughtExceptionHandler(
                 (thread, failure) -> {
@@ -60,7 +55,7 @@
                             LogEvent.INVARIANT_BROKEN,
                             HashMap.of("thread", thread.getName(), "failure", failure.toString()));
                     failure.printStackTrace();
-                    exit(events, streams, EXIT_INTERNAL_ERROR);
+                    exit(events, standardError, EXIT_INTERNAL_ERROR);
                 });
         LogEventWriter.createAtLevel(settings.get().logLevel());
         ForwardingInstance instance =
@@ -68,25 +63,17 @@
                         settings.get(),
                         adapter.apply(settings.get()),
                         events,
-                        streams::droppedWrites);
+                        LogEventWriter::droppedLines);
         signals.onReload(() -> reload(file, settings.get(), events));
         signals.awaitTermination();
         instance.drain().toCompletableFuture().join();
-        exit(events, streams, 0);
+        exit(events, standardError, 0);
     }
 
-    /**
-     * Flushes the log before the process exits, so that the reason for the exit is logged. An
-     * output that is not read does not delay the exit.
-     */
-    private static void exit(LogEventWriter events, StandardStreams streams, int status) {
+    /** Flushes the log before the process exits, so that the reason for the exit is logged. */
+    private static void exit(LogEventWriter events, StandardError standardError, int status) {
         events.close();
-        try {
-            streams.drain(OUTPUT_TIMEOUT_MS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-        Runtime.getRuntime().halt(status);
+        standardError.exit(status);
     }
 
     private static Either<Vector<SettingsProblem>, ForwardingSettings> readSettings(
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
@@ -64,12 +64,12 @@
                     .help("Forwarded requests in flight")
                     .register(registry);
 
-    /** Exposes the number of writes to the output that were dropped because nobody read it. */
-    public void countDroppedWrites(LongSupplier droppedWrites) {
+    /** Exposes the number of lines of the log that were dropped because nobody read the output. */
+    public void countDroppedLines(LongSupplier droppedLines) {
         CounterWithCallback.builder()
-                .name("sequoiaspindle_output_writes_dropped")
-                .help("Writes to standard output and error that were dropped")
-                .callback(callback -> callback.call(droppedWrites.getAsLong()))
+                .name("sequoiaspindle_log_lines_dropped")
+                .help("Lines of the log that were dropped")
+                .callback(callback -> callback.call(droppedLines.getAsLong()))
                 .register(registry);
     }
 
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/LogEventWriter.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/LogEventWriter.java
@@ -1,5 +1,6 @@
 package org.sequoiaspindle.daemon.transport.telemetry;
 
+import io.vavr.collection.HashMap;
 import io.vavr.collection.Map;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
@@ -14,23 +15,43 @@
 
 /**
  * Writes log events as JSON lines to standard output. The appender of {@code log4j2.xml} is
- * asynchronous and drops lines when its queue is full, so callers never block.
+ * asynchronous and drops lines when its queue is full, so callers never block. The number of
+ * dropped lines is reported once the output is read again.
  */
 public final class LogEventWriter implements EventLog, AutoCloseable {
 
     /** Name of the logger for events; libraries use other loggers. */
     static final String LOGGER = "org.sequoiaspindle.events";
 
+    /** Time for which the end of the log waits for the output to be read, in milliseconds. */
+    private static final long CLOSE_TIMEOUT_MS = 300;
+
+    private static final DroppedEvents DROPPED_EVENTS = new DroppedEvents();
+
     private final Logger logger = LogManager.getLogger(LOGGER);
 
     /** Creates a writer and sets the lowest level of events that the process logs. */
     public static LogEventWriter createAtLevel(LogEvent.Level level) {
         Configurator.setLevel(LOGGER, level(level));
+        DROPPED_EVENTS.install();
         return new LogEventWriter();
     }
 
+    /** Returns the number of lines that were dropped because the output was not read. */
+    public static long droppedLines() {
+        return DROPPED_EVENTS.total();
+    }
+
     @Override
     public void record(LogEvent event, Map<String, Object> fields) {
+        long dropped = DROPPED_EVENTS.takeUnreported();
+        if (dropped > 0) {
+            write(LogEvent.OUTPUT_DROPPED, HashMap.of("lines", dropped));
+        }
+        write(event, fields);
+    }
+
+    private void write(LogEvent event, Map<String, Object> fields) {
         Level level = level(event.level());
         if (logger.isEnabled(level)) {
             logger.log(level, message(event, fields));
@@ -39,11 +60,18 @@
 
     /**
      * Writes all queued lines and stops logging for the whole process. The writer must be closed
-     * last.
+     * last. Lines that nobody reads are given up.
      */
     @Override
     public void close() {
-        LogManager.shutdown();
+        Thread shutdown = new Thread(LogManager::shutdown, "log-shutdown");
+        shutdown.setDaemon(true);
+        shutdown.start();
+        try {
+            shutdown.join(CLOSE_TIMEOUT_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** Creates the Log4j message of an event. */
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/NonBlockingOutput.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/NonBlockingOutput.java
@@ -10,13 +10,11 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
-import java.util.function.LongConsumer;
 
 /**
  * Output stream whose writes never block. A thread of its own passes the bytes to the target. While
- * the target is not read, writes beyond a limit are dropped; when it is read again, the number of
- * dropped writes is reported. Errors of the target, such as a closed pipe, drop the bytes.
- * Thread-safe.
+ * the target is not read, writes beyond a limit are dropped. Errors of the target, such as a closed
+ * pipe, drop the bytes. Thread-safe.
  */
 public final class NonBlockingOutput extends OutputStream {
 
@@ -36,8 +34,6 @@
     private final BlockingQueue<Entry> queue = new ArrayBlockingQueue<>(MAX_QUEUED_WRITES);
     private final AtomicLong queuedBytes = new AtomicLong();
     private final AtomicLong droppedWrites = new AtomicLong();
-    private final AtomicLong unreportedWrites = new AtomicLong();
-    private volatile LongConsumer onRecovered = dropped -> {};
 
     private NonBlockingOutput(OutputStream target) {
         this.target = target;
@@ -52,14 +48,6 @@
         return output;
     }
 
-    /**
-     * Sets the receiver of the number of writes that were dropped since the last report. It is
-     * called by the writing thread when the target has been read again.
-     */
-    public void onRecovered(LongConsumer receiver) {
-        onRecovered = receiver;
-    }
-
     /** Returns the number of writes that were dropped since the start. */
     public long droppedWrites() {
         return droppedWrites.get();
@@ -102,7 +90,6 @@
 
     private void recordDropped(long writes) {
         droppedWrites.addAndGet(writes);
-        unreportedWrites.addAndGet(writes);
     }
 
     private void passOn() {
@@ -126,18 +113,10 @@
         try {
             bytes.writeTo(target);
             target.flush();
-            reportRecovery();
         } catch (IOException e) {
             recordDropped(batch.stream().filter(entry -> entry.bytes().length > 0).count());
         }
         queuedBytes.addAndGet(-bytes.size());
         batch.forEach(entry -> entry.afterwards().run());
     }
-
-    private void reportRecovery() {
-        long dropped = unreportedWrites.getAndSet(0);
-        if (dropped > 0) {
-            onRecovered.accept(dropped);
-        }
-    }
 }
