--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/PieceQueue.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/PieceQueue.java
@@ -54,6 +54,10 @@
      * cost does not grow with the square of the number of pieces that a client has stated.
      */
     public void addAll(Collection<Piece> pieces) {
+        if (pieces.size() == 1) {
+            add(pieces.iterator().next());
+            return;
+        }
         byGroup(pieces).forEach(this::addToGroup);
     }
 
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/StageAdmission.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/StageAdmission.java
@@ -35,6 +35,9 @@
             RequestMetadata metadata,
             ToIntFunction<String> replicas,
             long remainingMillis) {
+        if (route.stages().isEmpty()) {
+            return Optional.empty();
+        }
         long pieces =
                 route.stages().stream()
                         .mapToLong(stage -> metadata.pieceCount(stage.number()))
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestHeadValidator.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestHeadValidator.java
@@ -80,13 +80,20 @@
                     new Rejection(BAD_REQUEST, "the request does not have exactly one host"));
         }
         // Other bytes would not be the same when the target is written again.
-        boolean isVisible =
-                request.uri().chars().allMatch(c -> c >= FIRST_VISIBLE && c <= LAST_VISIBLE);
-        return isVisible
+        return isVisible(request.uri())
                 ? Optional.empty()
                 : Optional.of(
                         new Rejection(
                                 BAD_REQUEST,
                                 "the target contains bytes that are not percent-encoded"));
     }
+
+    private static boolean isVisible(String text) {
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) < FIRST_VISIBLE || text.charAt(i) > LAST_VISIBLE) {
+                return false;
+            }
+        }
+        return true;
+    }
 }
