Log answers that belong to no request or to another one

Cause: an answer that was discarded, and bytes on an idle connection, left no line in the log, and lines 304 and 305 did not name the connection.

Change: event 307 STRAY_ANSWER and the metric sequoiaspindle_stray_answers_total; the connection, and the number of requests that it has carried, in 304 and 305.

--- a/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
+++ b/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
@@ -25,6 +25,7 @@
     PIECES_MADE(306, Level.INFO, "batch of pieces ended"),
     LATE_ANSWER_DROPPED(302, Level.WARN, "answer dropped: late, or for another request"),
     REQUEST_REJECTED(303, Level.INFO, "malformed or unauthorised request rejected"),
+    STRAY_ANSWER(307, Level.INFO, "answer to no request or to another one was not used"),
     PEER_CONNECTED(401, Level.INFO, "peer connected"),
     PEER_SILENT(402, Level.WARN, "peer link timed out; closed"),
     PEER_SUSPECTED(403, Level.WARN, "peer suspected"),
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardedRequest.java
@@ -19,6 +19,7 @@
 import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.core.state.forwarding.ReplicaId;
 import org.sequoiaspindle.core.state.forwarding.Route;
+import org.sequoiaspindle.daemon.transport.http.OutboundConnection;
 
 /**
  * Processes one client request: admission, stages, attempts at replicas and response. Confined to
@@ -187,8 +188,9 @@
         currentAttempt.start();
     }
 
-    /** Counts an attempt whose request is about to be sent. */
-    void recordSend() {
+    /** Counts an attempt whose request is about to be sent on the connection. */
+    void recordSend(OutboundConnection connection) {
+        trace.recordSend(connection);
         attempts.recordSend();
     }
 
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContext.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContext.java
@@ -29,6 +29,7 @@
         Registry registry,
         HttpDialect dialect,
         ReplicaAnswerRecorder answerRecorder,
+        StrayAnswerLog strayAnswers,
         ServiceRetryBudgets retryBudgets,
         DurationEstimates pieceTimes,
         DurationEstimates responseTimes,
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingInstance.java
@@ -67,6 +67,7 @@
     private final ClientConnections connections = new ClientConnections();
     private final MultiThreadIoEventLoopGroup loops;
     private final Map<EventExecutor, EventLoopWorker> workers = new ConcurrentHashMap<>();
+    private final StrayAnswerLog strayAnswers;
     private final EventLoopWorker control;
     private final Registry registry;
     private final ForwardingContext context;
@@ -89,6 +90,7 @@
                         new DefaultThreadFactory("worker", true),
                         NioIoHandler.newFactory());
         closer.register(() -> loops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS));
+        strayAnswers = new StrayAnswerLog(adapter.dialect().responseReader(), metrics, events);
         loops.forEach(loop -> workers.put(loop, newWorker((EventLoop) loop)));
         control = workers.get(loops.next());
         registry = new Registry(adapter.layout(), clock, MillisClock.wall(), events);
@@ -261,7 +263,9 @@
     }
 
     private EventLoopWorker newWorker(EventLoop loop) {
-        ConnectionPool pool = new ConnectionPool(loop, NioSocketChannel.class, clock);
+        ConnectionPool pool =
+                new ConnectionPool(
+                        loop, NioSocketChannel.class, clock, strayAnswers::recordUnrequested);
         return new EventLoopWorker(loop, pool, new HttpCallClient(loop, pool));
     }
 
@@ -276,6 +280,7 @@
                 registry,
                 adapter.dialect(),
                 answerRecorder,
+                strayAnswers,
                 new ServiceRetryBudgets(
                         new ServiceRetryBudgets.Limits(
                                 limits.ratio(), limits.windowMillis(), limits.slack()),
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
@@ -88,7 +88,7 @@
         }
         connection = acquiredConnection;
         sentAt = forwardedRequest.context().clock().now();
-        forwardedRequest.recordSend();
+        forwardedRequest.recordSend(connection);
         connection.send(head(), forwardedRequest.request().body().retainedDuplicate(), this);
     }
 
@@ -173,9 +173,17 @@
                                 name -> Optional.ofNullable(response.headers().get(name)));
         if (parsedHead.requestId().isPresent()
                 && !parsedHead.requestId().get().equals(requestId())) {
+            forwardedRequest
+                    .context()
+                    .strayAnswers()
+                    .recordDiscarded(requestId(), replica, connection, parsedHead);
             return false;
         }
         if (parsedHead.requestId().isEmpty() && connection.isReused()) {
+            forwardedRequest
+                    .context()
+                    .strayAnswers()
+                    .recordDiscarded(requestId(), replica, connection, parsedHead);
             // It may be a late copy, but what it says of the replica holds for all requests.
             forwardedRequest.context().answerRecorder().record(replica, parsedHead);
             connection.abort();
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestTrace.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestTrace.java
@@ -10,6 +10,7 @@
 import org.sequoiaspindle.core.state.forwarding.PromptPart;
 import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
+import org.sequoiaspindle.daemon.transport.http.OutboundConnection;
 
 /**
  * Collects the log fields and metrics of one request. Confined to the event loop of the request.
@@ -25,6 +26,8 @@
     private long stagedMillis = NOT_REACHED;
     private long firstBytesMillis = NOT_REACHED;
     private String endpoint = "none";
+    private String connection = "none";
+    private int carriedRequests;
     private double load;
     private long loadAgeMillis = NOT_REACHED;
 
@@ -45,10 +48,18 @@
     /** Records the selected replica and its estimated load. */
     void recordReplica(Replica replica, ReplicaStatus status, long now) {
         endpoint = replica.id().toString();
+        connection = "none";
+        carriedRequests = 0;
         load = status.expectedLoad(now);
         loadAgeMillis = status.reportAgeMillis(now).orElse(NOT_REACHED);
     }
 
+    /** Records the connection on which the request is about to be sent. */
+    void recordSend(OutboundConnection outboundConnection) {
+        connection = outboundConnection.name();
+        carriedRequests = outboundConnection.carriedRequestCount();
+    }
+
     void recordFirstBytes(long now) {
         firstBytesMillis = now - receivedAt;
     }
@@ -65,6 +76,8 @@
                                 promptPartIds(),
                                 "endpoint",
                                 replica.id().toString(),
+                                "connection",
+                                connection,
                                 "result",
                                 result.name(),
                                 "reason",
@@ -96,6 +109,8 @@
                                 "generation", context.registry().configuration().version())
                         .put("pieces", completedPieces)
                         .put("endpoint", endpoint)
+                        .put("connection", connection)
+                        .put("carriedRequests", carriedRequests)
                         .put("load", Math.round(load))
                         .put("loadAgeMs", loadAgeMillis);
         context.events().record(LogEvent.FORWARD_ENDED, fields);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ConnectionPool.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ConnectionPool.java
@@ -7,15 +7,19 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
@@ -52,13 +56,24 @@
     private final EventLoop loop;
     private final Class<? extends Channel> channelType;
     private final MillisClock clock;
+    private final Consumer<UnrequestedBytes> onUnrequestedBytes;
     private final Map<Destination, Deque<IdleConnection>> idleConnections = new HashMap<>();
 
-    /** Creates an empty pool. */
-    public ConnectionPool(EventLoop loop, Class<? extends Channel> channelType, MillisClock clock) {
+    /**
+     * Creates an empty pool.
+     *
+     * @param onUnrequestedBytes called when a server sends bytes on a connection without a request
+     *     in progress; the connection is then closed
+     */
+    public ConnectionPool(
+            EventLoop loop,
+            Class<? extends Channel> channelType,
+            MillisClock clock,
+            Consumer<UnrequestedBytes> onUnrequestedBytes) {
         this.loop = loop;
         this.channelType = channelType;
         this.clock = clock;
+        this.onUnrequestedBytes = onUnrequestedBytes;
         loop.scheduleWithFixedDelay(
                 this::closeExpired, SWEEP_INTERVAL_MS, SWEEP_INTERVAL_MS, TimeUnit.MILLISECONDS);
     }
@@ -176,7 +191,20 @@
                         new OutboundConnection(
                                 channel,
                                 connection -> returnToPool(destination, connection),
-                                connection -> removeClosed(destination, connection)));
+                                connection -> removeClosed(destination, connection),
+                                message -> reportUnrequested(destination, channel, message)));
+    }
+
+    private void reportUnrequested(Destination destination, Channel channel, HttpObject message) {
+        OutboundConnection connection = channel.pipeline().get(OutboundConnection.class);
+        onUnrequestedBytes.accept(
+                new UnrequestedBytes(
+                        destination,
+                        connection.name(),
+                        connection.carriedRequestCount(),
+                        message instanceof HttpResponse head && message.decoderResult().isSuccess()
+                                ? Optional.of(head)
+                                : Optional.empty()));
     }
 
     private void returnToPool(Destination destination, OutboundConnection connection) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
@@ -44,6 +44,7 @@
     private final Channel channel;
     private final Consumer<OutboundConnection> onFree;
     private final Consumer<OutboundConnection> onClosed;
+    private final Consumer<HttpObject> onUnrequestedBytes;
 
     /** Hashes of the identifiers of all requests that the connection has carried. */
     private final Set<Long> carriedRequests = new HashSet<>();
@@ -61,14 +62,27 @@
      *
      * @param onFree called when the connection can carry another request
      * @param onClosed called once when the connection is closed
+     * @param onUnrequestedBytes called with what arrives while no request is in progress
      */
     OutboundConnection(
             Channel channel,
             Consumer<OutboundConnection> onFree,
-            Consumer<OutboundConnection> onClosed) {
+            Consumer<OutboundConnection> onClosed,
+            Consumer<HttpObject> onUnrequestedBytes) {
         this.channel = channel;
         this.onFree = onFree;
         this.onClosed = onClosed;
+        this.onUnrequestedBytes = onUnrequestedBytes;
+    }
+
+    /** Returns a short identifier of the connection for the log. */
+    public String name() {
+        return channel.id().asShortText();
+    }
+
+    /** Returns the number of requests that the connection has carried, with the current one. */
+    public int carriedRequestCount() {
+        return requests;
     }
 
     /** Sends a request with a complete body. */
@@ -146,8 +160,16 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
-        if (listener == null || message.decoderResult().isFailure()) {
-            fail(listener == null ? "unexpected bytes" : "malformed response");
+        if (listener == null) {
+            // Messages that were decoded before an aborted connection was closed are not reported.
+            if (channel.isOpen()) {
+                onUnrequestedBytes.accept(message);
+            }
+            channel.close();
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            fail("malformed response");
             channel.close();
             return;
         }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
@@ -48,6 +48,11 @@
                     "service", "result");
     private final Counter rejections =
             counter("rejected_requests", "Requests that could not be read, by status", "status");
+    private final Counter strayAnswers =
+            counter(
+                    "stray_answers",
+                    "Answers besides the answer to a request, by state of the connection",
+                    "connection");
     private final Counter storeCalls =
             counter(
                     "store_calls", "Store calls by command and result",
@@ -99,6 +104,15 @@
         attempts.labelValues(service, result).inc();
     }
 
+    /**
+     * Counts an answer that is not the answer to the request in progress on its connection.
+     *
+     * @param idle whether no request was in progress
+     */
+    public void recordStrayAnswer(boolean idle) {
+        strayAnswers.labelValues(idle ? "idle" : "busy").inc();
+    }
+
     /**
      * Returns a store that counts the calls of the given store by the names of command and result.
      */
