Start no request whose client left before it was read

Cause: a slow instance reads a request when its client has already closed the connection. The read ended with the first buffer that was not full, so the close was noticed one round of the event loop after the request had been sent.

Change: a read goes on until the socket is empty or closed, and the request starts after the read that completed it.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnection.java
@@ -135,6 +135,11 @@
         return channel;
     }
 
+    /** Returns whether a drain has gone too far for a new request. */
+    boolean isRejectingRequests() {
+        return connections.isRejectingRequests();
+    }
+
     /** Returns which requests may be executed during a drain of the instance. */
     DrainAdmission drainAdmission() {
         return connections.drainAdmission();
@@ -220,11 +225,7 @@
                     new ClientRequest(requestHead, metadata, body.complete(), headReceivedAt);
             requestHead = null;
             activeRequest = new ForwardedRequest(context, worker, this, request);
-            if (connections.isRejectingRequests()) {
-                activeRequest.rejectAsStopping();
-            } else {
-                activeRequest.start();
-            }
+            activeRequest.startAfterRead();
         }
     }
 
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardedRequest.java
@@ -39,7 +39,6 @@
     private Admission.Admitted admission;
     private ReplicaChoice replicaChoice;
     private long deadlineMillis;
-    private long stagesEndedAt;
     private ScheduledFuture<?> deadlineTimer;
     private StageGraphExecution stages;
     private List<String> inputHandles = List.of();
@@ -94,14 +93,23 @@
         return deadlineMillis - context.clock().now();
     }
 
-    /** Rejects a request that arrived too late during a drain. */
-    void rejectAsStopping() {
+    /**
+     * Starts the request after the read that completed it. The close of a client that left before
+     * its request was read is noticed in the same read.
+     */
+    void startAfterRead() {
         context.metrics().recordRequestStart();
-        reject(RejectionReason.STOPPING);
+        worker.loop().execute(this::start);
     }
 
-    void start() {
-        context.metrics().recordRequestStart();
+    private void start() {
+        if (ended || !client.channel().isActive()) {
+            return;
+        }
+        if (client.isRejectingRequests()) {
+            reject(RejectionReason.STOPPING);
+            return;
+        }
         Either<RequestAdmission.Rejection, Admission.Admitted> decision =
                 RequestAdmission.decide(context, request.metadata());
         if (decision.isLeft()) {
@@ -162,8 +170,7 @@
         inputHandles = plan.outputHandles();
         inputBytes = plan.outputBytes(context.locator()::countByDataCentre);
         unreleasedHandles = plan.allHandles();
-        stagesEndedAt = context.clock().now();
-        trace.recordStagesCompleted(stagesEndedAt);
+        trace.recordStagesCompleted(context.clock().now());
         startAttempt();
     }
 
@@ -289,10 +296,7 @@
 
     /** Records the time at which the first bytes are passed to the client. */
     void firstBytesReceived() {
-        long now = context.clock().now();
-        trace.recordFirstBytes(now);
-        context.firstByteTimes()
-                .observe(route().name(), request.metadata().promptTokens(), now - stagesEndedAt);
+        trace.recordFirstBytes(context.clock().now());
     }
 
     /** Ends the request because its deadline has passed or the process is about to exit. */
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ListenerSockets.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ListenerSockets.java
@@ -1,6 +1,7 @@
 package org.sequoiaspindle.daemon.transport.forwarding;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -24,6 +25,10 @@
 final class ListenerSockets {
 
     private static final int BACKLOG = 1_024;
+
+    /** Number of buffers after which other connections are read. */
+    private static final int MAX_READS = 16;
+
     private static final int MAX_STATUS_REQUEST_BYTES = 8_192;
     private static final int MAX_CHUNK_BYTES = 65_536;
 
@@ -43,6 +48,7 @@
                 loops,
                 address,
                 channel -> {
+                    readUntilEmpty(channel);
                     int maxHeader = limits.get().maxHeaderBytes();
                     ClientConnection handler = handlerFactory.apply(channel);
                     channel.pipeline()
@@ -54,6 +60,17 @@
                 });
     }
 
+    /**
+     * Makes each read of a connection go on until its socket is empty or closed, so that a close
+     * behind a request is noticed in the read of the request.
+     */
+    private static void readUntilEmpty(SocketChannel channel) {
+        AdaptiveRecvByteBufAllocator allocator = new AdaptiveRecvByteBufAllocator();
+        allocator.respectMaybeMoreData(false);
+        allocator.maxMessagesPerRead(MAX_READS);
+        channel.config().setRecvByteBufAllocator(allocator);
+    }
+
     /** Listens for requests for the status of the instance. */
     static Channel bindStatus(
             EventLoopGroup loops, HostPort address, Supplier<StatusHandler> handlerFactory) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestTrace.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestTrace.java
@@ -60,8 +60,14 @@
         carriedRequests = outboundConnection.carriedRequestCount();
     }
 
+    /** Records the first bytes of the response, and the time to them for the estimates. */
     void recordFirstBytes(long now) {
         firstBytesMillis = now - receivedAt;
+        context.firstByteTimes()
+                .observe(
+                        admission.route().name(),
+                        metadata.promptTokens(),
+                        firstBytesMillis - stagedMillis);
     }
 
     void recordFailedAttempt(Replica replica, AttemptResult result, String reason) {
