Let replica stand-ins answer twice, the second time late

The stand-in for replicas had no such fault; the tests wrote bytes by hand, on one connection each.

RepeatedAnswers chooses a seeded share of the answers, also of those to stage calls, a delay between two bounds, and the status of the second answer, the same or another one. ReplicaServer.setRepeatedAnswers sets it, and bin/standin users-platform has the options repeatShare, repeatMinMs, repeatMaxMs, repeatStatus and repeatSeed. A second answer is written between the others on its connection, never inside one.

--- a/standins/src/main/java/org/sequoiaspindle/standins/protocol/HttpResponder.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/protocol/HttpResponder.java
@@ -5,7 +5,7 @@
 
 /**
  * Sends the response to one HTTP request. Methods called after the end of the response have no
- * effect.
+ * effect, except {@link #sendUnrequested}.
  */
 public interface HttpResponder {
 
@@ -32,6 +32,12 @@
     /** Ends the stream. */
     void endStream();
 
+    /**
+     * Sends a complete response that no request waits for, also after the end of the response. If
+     * another response has begun on the connection, it is sent after that one.
+     */
+    void sendUnrequested(FullResponse response);
+
     /** Closes the connection immediately. */
     void disconnect();
 
--- a/standins/src/main/java/org/sequoiaspindle/standins/protocol/ReplicaFrontEnd.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/protocol/ReplicaFrontEnd.java
@@ -5,13 +5,16 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Supplier;
+import org.sequoiaspindle.standins.coordination.SeededRandom;
 import org.sequoiaspindle.standins.state.ImmutableBytes;
+import org.sequoiaspindle.standins.state.RepeatedAnswers;
 import org.sequoiaspindle.standins.state.ReplicaFault;
 
 /**
@@ -23,7 +26,7 @@
     private static final String PROMPT_PREFIX_HEADER = "x-sequoiaspindle-prompt-prefix";
     private static final String ATTEMPT_ID_HEADER = "x-sequoiaspindle-attempt-id";
     private static final String EXPECTED_INSTANCE_HEADER = "x-sequoiaspindle-expect-instance";
-    private static final String NOT_EXECUTED_HEADER = "X-Sequoiaspindle-Not-Executed";
+    static final String NOT_EXECUTED_HEADER = "X-Sequoiaspindle-Not-Executed";
     private static final String LEAVING_HEADER = "Server-Leaving";
     private static final int EVENTS_PER_STREAM = 3;
 
@@ -40,6 +43,9 @@
     private final Supplier<String> address;
     private final long serviceMs;
     private final AtomicReference<ReplicaFault> fault = new AtomicReference<>(ReplicaFault.NONE);
+    private final AtomicReference<RepeatedAnswers> repeatedAnswers =
+            new AtomicReference<>(RepeatedAnswers.none());
+    private final AtomicLong requestCount = new AtomicLong();
     private final AtomicReference<FatalPart> fatalPart = new AtomicReference<>();
     private final List<FullRequest> executedRequests = new CopyOnWriteArrayList<>();
     private final AtomicLong pausedRequestCount = new AtomicLong();
@@ -80,6 +86,10 @@
         fault.set(value);
     }
 
+    public void setRepeatedAnswers(RepeatedAnswers value) {
+        repeatedAnswers.set(value);
+    }
+
     /** Returns the executed requests in the order of arrival. */
     public List<FullRequest> executedRequests() {
         return List.copyOf(executedRequests);
@@ -113,23 +123,37 @@
     }
 
     public HttpHandler handler() {
-        return (request, responder) -> {
-            if (request.header(EXPECTED_INSTANCE_HEADER)
-                    .filter(expected -> !expected.equals(id))
-                    .isPresent()) {
-                responder.send(FullResponse.empty(421));
-            } else if (request.path().equals("/api/stage-run")) {
-                responder.scheduler().schedule(serviceMs, () -> makePieces(request, responder));
-            } else if (request.path().equals("/api/stage-free")) {
-                releaseCallCount.incrementAndGet();
-                StandinJson.parse(request.body().toUtf8String())
-                        .path("handles")
-                        .forEach(handle -> resultHandles.remove(handle.asText()));
-                responder.send(FullResponse.json(200, Map.of()));
-            } else {
-                execute(request, responder);
-            }
-        };
+        return (request, responder) -> handle(request, withRepeat(responder));
+    }
+
+    private HttpResponder withRepeat(HttpResponder responder) {
+        RepeatedAnswers repeats = repeatedAnswers.get();
+        long number = requestCount.incrementAndGet();
+        OptionalLong delayMs =
+                repeats.delayMs(
+                        SeededRandom.uniform(repeats.seed(), 2 * number),
+                        SeededRandom.uniform(repeats.seed(), 2 * number + 1));
+        return delayMs.isEmpty()
+                ? responder
+                : new RepeatingResponder(responder, repeats, delayMs.getAsLong());
+    }
+
+    private void handle(FullRequest request, HttpResponder responder) {
+        if (request.header(EXPECTED_INSTANCE_HEADER)
+                .filter(expected -> !expected.equals(id))
+                .isPresent()) {
+            responder.send(FullResponse.empty(421));
+        } else if (request.path().equals("/api/stage-run")) {
+            responder.scheduler().schedule(serviceMs, () -> makePieces(request, responder));
+        } else if (request.path().equals("/api/stage-free")) {
+            releaseCallCount.incrementAndGet();
+            StandinJson.parse(request.body().toUtf8String())
+                    .path("handles")
+                    .forEach(handle -> resultHandles.remove(handle.asText()));
+            responder.send(FullResponse.json(200, Map.of()));
+        } else {
+            execute(request, responder);
+        }
     }
 
     private void execute(FullRequest request, HttpResponder responder) {
--- a/standins/src/main/java/org/sequoiaspindle/standins/transport/HttpConnectionHandler.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/HttpConnectionHandler.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.util.ArrayDeque;
@@ -25,6 +26,7 @@
 
     private final HttpHandler handler;
     private final Queue<QueuedRequest> queue = new ArrayDeque<>();
+    private final Queue<HttpResponse> unrequestedResponses = new ArrayDeque<>();
     private NettyResponder currentResponder;
 
     HttpConnectionHandler(HttpHandler handler) {
@@ -63,7 +65,11 @@
             return;
         }
         NettyResponder responder =
-                new NettyResponder(context.channel(), next.keepAlive, () -> onResponseEnd(context));
+                new NettyResponder(
+                        context.channel(),
+                        next.keepAlive,
+                        () -> onResponseEnd(context),
+                        response -> sendBetweenResponses(context, response));
         currentResponder = responder;
         try {
             handler.handle(next.request, responder);
@@ -74,8 +80,22 @@
         }
     }
 
+    private void sendBetweenResponses(ChannelHandlerContext context, HttpResponse response) {
+        unrequestedResponses.add(response);
+        if (currentResponder == null || !currentResponder.isWithinResponse()) {
+            sendUnrequested(context);
+        }
+    }
+
+    private void sendUnrequested(ChannelHandlerContext context) {
+        while (!unrequestedResponses.isEmpty()) {
+            context.writeAndFlush(unrequestedResponses.poll());
+        }
+    }
+
     private void onResponseEnd(ChannelHandlerContext context) {
         currentResponder = null;
+        sendUnrequested(context);
         // A separate task avoids deep recursion when many requests are pipelined.
         context.channel().eventLoop().execute(() -> serveNextIfIdle(context));
     }
--- a/standins/src/main/java/org/sequoiaspindle/standins/transport/NettyResponder.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/NettyResponder.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.function.Consumer;
 import org.sequoiaspindle.standins.coordination.ActionScheduler;
 import org.sequoiaspindle.standins.protocol.FullResponse;
 import org.sequoiaspindle.standins.protocol.HttpResponder;
@@ -30,14 +31,27 @@
     private final Channel channel;
     private final boolean keepAlive;
     private final Runnable onResponseEnd;
-    // The fields ended and onDisconnect are confined to the event loop of the channel.
+    private final Consumer<HttpResponse> unrequestedResponses;
+    // The fields started, ended and onDisconnect are confined to the event loop of the channel.
+    private boolean started;
     private boolean ended;
     private Runnable onDisconnect = () -> {};
 
-    NettyResponder(Channel channel, boolean keepAlive, Runnable onResponseEnd) {
+    /**
+     * Creates a responder to one request.
+     *
+     * @param onResponseEnd called when the next request can be served
+     * @param unrequestedResponses sends responses between the others on the connection
+     */
+    NettyResponder(
+            Channel channel,
+            boolean keepAlive,
+            Runnable onResponseEnd,
+            Consumer<HttpResponse> unrequestedResponses) {
         this.channel = channel;
         this.keepAlive = keepAlive;
         this.onResponseEnd = onResponseEnd;
+        this.unrequestedResponses = unrequestedResponses;
     }
 
     @Override
@@ -65,6 +79,7 @@
     public void startStream(Map<String, String> headers) {
         runOnEventLoop(
                 () -> {
+                    started = true;
                     HttpResponse head =
                             new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
                     head.headers()
@@ -92,6 +107,16 @@
         runOnEventLoop(() -> finish(channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)));
     }
 
+    @Override
+    public void sendUnrequested(FullResponse response) {
+        channel.eventLoop().execute(() -> unrequestedResponses.accept(fullResponse(response)));
+    }
+
+    /** Returns whether the response has begun and not ended. Called on the event loop. */
+    boolean isWithinResponse() {
+        return started && !ended;
+    }
+
     @Override
     public void disconnect() {
         runOnEventLoop(
--- a/standins/src/main/java/org/sequoiaspindle/standins/transport/ReplicaServer.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/ReplicaServer.java
@@ -6,6 +6,7 @@
 import org.sequoiaspindle.standins.protocol.FullRequest;
 import org.sequoiaspindle.standins.protocol.ReplicaFrontEnd;
 import org.sequoiaspindle.standins.protocol.StandinJson;
+import org.sequoiaspindle.standins.state.RepeatedAnswers;
 import org.sequoiaspindle.standins.state.ReplicaFault;
 
 /** Stand-in for a replica on the users' platform. */
@@ -50,6 +51,11 @@
         frontEnd.setFault(fault);
     }
 
+    /** Sets which answers, also those to stage calls, are sent a second time. */
+    public void setRepeatedAnswers(RepeatedAnswers value) {
+        frontEnd.setRepeatedAnswers(value);
+    }
+
     /** Stops for good when it begins to answer a request with a prompt part. */
     public void crashOnPart(String part) {
         frontEnd.crashOnPart(part, () -> new Thread(this::close, "crash-" + id).start());
--- a/standins/src/main/java/org/sequoiaspindle/standins/transport/StandinMain.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/StandinMain.java
@@ -23,6 +23,7 @@
 import org.sequoiaspindle.standins.state.LinkOptions;
 import org.sequoiaspindle.standins.state.OptionValues;
 import org.sequoiaspindle.standins.state.PlatformOptions;
+import org.sequoiaspindle.standins.state.RepeatedAnswers;
 import org.sequoiaspindle.standins.state.ServiceOptions;
 
 /**
@@ -69,11 +70,12 @@
                                                             ServiceOptions.from(optionValues)))),
                             "users-platform",
                             new Subcommand(
-                                    Set.of("port"),
+                                    withPort(RepeatedAnswers.OPTION_NAMES),
                                     optionValues ->
                                             addressOf(
                                                     UsersPlatformServer.start(
-                                                            optionValues.intValue("port", 0)))),
+                                                            optionValues.intValue("port", 0),
+                                                            RepeatedAnswers.from(optionValues)))),
                             CALLERS,
                             new Subcommand(
                                     CallerOptions.OPTION_NAMES,
@@ -114,6 +116,12 @@
         new CompletableFuture<Void>().join();
     }
 
+    private static Set<String> withPort(Set<String> optionNames) {
+        Set<String> names = new TreeSet<>(optionNames);
+        names.add("port");
+        return names;
+    }
+
     private static Map<String, Object> addressOf(StandinServer server) {
         return Map.of("address", server.address());
     }
--- a/standins/src/main/java/org/sequoiaspindle/standins/transport/UsersPlatformServer.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/UsersPlatformServer.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import org.sequoiaspindle.standins.state.RepeatedAnswers;
 
 /**
  * Stand-in for a small deployment of the users' platform: a store with a configuration, and
@@ -45,10 +46,13 @@
     private final RegistryServer registry;
     private final List<ReplicaServer> replicas;
 
-    private UsersPlatformServer(int port) {
+    private UsersPlatformServer(int port, RepeatedAnswers repeatedAnswers) {
         registry = RegistryServer.start(port);
         registry.write("op/config", CONFIGURATION.formatted(API_KEY));
-        replicas = SERVICES_BY_REPLICA_ID.entrySet().stream().map(this::startReplica).toList();
+        replicas =
+                SERVICES_BY_REPLICA_ID.entrySet().stream()
+                        .map(replica -> startReplica(replica, repeatedAnswers))
+                        .toList();
     }
 
     /**
@@ -57,11 +61,20 @@
      * @param port port of the store, 0 for an ephemeral port; the replicas use ephemeral ports
      */
     public static UsersPlatformServer start(int port) {
-        return new UsersPlatformServer(port);
+        return start(port, RepeatedAnswers.none());
     }
 
-    private ReplicaServer startReplica(Map.Entry<String, String> replica) {
+    /** Starts the servers with replicas that send some answers a second time. */
+    public static UsersPlatformServer start(int port, RepeatedAnswers repeatedAnswers) {
+        return new UsersPlatformServer(port, repeatedAnswers);
+    }
+
+    private ReplicaServer startReplica(
+            Map.Entry<String, String> replica, RepeatedAnswers repeatedAnswers) {
         ReplicaServer server = ReplicaServer.start(replica.getKey(), SERVICE_MS);
+        // Each replica repeats other answers than its neighbours do.
+        server.setRepeatedAnswers(
+                repeatedAnswers.withSeed(repeatedAnswers.seed() + replica.getKey().hashCode()));
         server.register(registry, replica.getValue(), DATA_CENTRE, "ready");
         return server;
     }
