--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContextTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContextTest.java
@@ -94,6 +94,7 @@
                 null,
                 null,
                 null,
+                null,
                 clock,
                 null);
     }
