Decide what a connection carries next in an immutable state

Whether a connection may carry another request, and whether a response is that of the request in progress, was decided by six fields of OutboundConnection and two conditions of ReplicaAttempt. ConnectionState now makes these decisions, without a socket or a codec, and OutboundConnection applies them. No change of behaviour is intended.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
@@ -13,6 +13,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.sequoiaspindle.core.coordination.forwarding.AttemptResult;
+import org.sequoiaspindle.core.coordination.forwarding.ConnectionState.Decision;
 import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatus;
 import org.sequoiaspindle.core.protocol.forwarding.EventStreamPosition;
 import org.sequoiaspindle.core.protocol.forwarding.ReplicaRequestContext;
@@ -171,15 +172,15 @@
                         .read(
                                 response.status().code(),
                                 name -> Optional.ofNullable(response.headers().get(name)));
-        if (parsedHead.requestId().isPresent()
-                && !parsedHead.requestId().get().equals(requestId())) {
+        Decision owner = connection.ownerOf(parsedHead.requestId());
+        if (owner == Decision.DISCARD) {
             forwardedRequest
                     .context()
                     .strayAnswers()
                     .recordDiscarded(requestId(), replica, connection, parsedHead);
             return false;
         }
-        if (parsedHead.requestId().isEmpty() && connection.isReused()) {
+        if (owner == Decision.FAIL) {
             forwardedRequest
                     .context()
                     .strayAnswers()
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ConnectionPool.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ConnectionPool.java
@@ -7,8 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -40,10 +38,6 @@
     /** Interval at which expired idle connections are closed, in milliseconds. */
     private static final long SWEEP_INTERVAL_MS = 1_000;
 
-    private static final int MAX_INITIAL_LINE_BYTES = 4_096;
-    private static final int MAX_HEADER_BYTES = 32_768;
-    private static final int MAX_CHUNK_BYTES = 65_536;
-
     /**
      * A server to connect to.
      *
@@ -182,29 +176,19 @@
     }
 
     private void install(Channel channel, Destination destination) {
-        channel.pipeline()
-                .addLast(new HttpRequestEncoder())
-                .addLast(
-                        new StrictResponseDecoder(
-                                MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                .addLast(
-                        new OutboundConnection(
-                                channel,
-                                connection -> returnToPool(destination, connection),
-                                connection -> removeClosed(destination, connection),
-                                message -> reportUnrequested(destination, channel, message)));
+        OutboundConnection.install(
+                channel,
+                connection -> returnToPool(destination, connection),
+                connection -> removeClosed(destination, connection),
+                head -> reportUnrequested(destination, channel, head));
     }
 
-    private void reportUnrequested(Destination destination, Channel channel, HttpObject message) {
+    private void reportUnrequested(
+            Destination destination, Channel channel, Optional<HttpResponse> head) {
         OutboundConnection connection = channel.pipeline().get(OutboundConnection.class);
         onUnrequestedBytes.accept(
                 new UnrequestedBytes(
-                        destination,
-                        connection.name(),
-                        connection.carriedRequestCount(),
-                        message instanceof HttpResponse head && message.decoderResult().isSuccess()
-                                ? Optional.of(head)
-                                : Optional.empty()));
+                        destination, connection.name(), connection.carriedRequestCount(), head));
     }
 
     private void returnToPool(Destination destination, OutboundConnection connection) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
@@ -9,14 +9,15 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.util.HashSet;
-import java.util.Set;
+import java.util.Optional;
 import java.util.function.Consumer;
-import org.sequoiaspindle.core.coordination.forwarding.StableHash;
+import org.sequoiaspindle.core.coordination.forwarding.ConnectionState;
+import org.sequoiaspindle.core.coordination.forwarding.ConnectionState.Decision;
 
 /**
  * A connection to a server that carries one request at a time. Confined to the event loop of the
@@ -27,52 +28,53 @@
  */
 public final class OutboundConnection extends SimpleChannelInboundHandler<HttpObject> {
 
-    /**
-     * Number of identified requests after which a connection is not used again. It bounds the
-     * memory for their identifiers.
-     */
-    private static final int MAX_IDENTIFIED_REQUESTS = 1_000;
-
-    /**
-     * Bytes of responses to other requests after which the connection is closed, because a faulty
-     * server may send them without end. A head counts as {@link #HEAD_BYTES}.
-     */
-    private static final int MAX_DISCARDED_BYTES = 1024 * 1024;
-
-    private static final int HEAD_BYTES = 1_024;
+    private static final int MAX_INITIAL_LINE_BYTES = 4_096;
+    private static final int MAX_HEADER_BYTES = 32_768;
+    private static final int MAX_CHUNK_BYTES = 65_536;
 
     private final Channel channel;
     private final Consumer<OutboundConnection> onFree;
     private final Consumer<OutboundConnection> onClosed;
-    private final Consumer<HttpObject> onUnrequestedBytes;
-
-    /** Hashes of the identifiers of all requests that the connection has carried. */
-    private final Set<Long> carriedRequests = new HashSet<>();
+    private final Consumer<Optional<HttpResponse>> onUnrequestedBytes;
 
+    private ConnectionState state = ConnectionState.NEW;
     private ResponseListener listener;
-    private int requests;
-    private boolean requestWritten;
-    private boolean discardingResponse;
-    private int discardedBytes;
-    private boolean reusable;
+    private Optional<String> nextRequestId = Optional.empty();
     private long idleLimitMillis;
 
+    private OutboundConnection(
+            Channel channel,
+            Consumer<OutboundConnection> onFree,
+            Consumer<OutboundConnection> onClosed,
+            Consumer<Optional<HttpResponse>> onUnrequestedBytes) {
+        this.channel = channel;
+        this.onFree = onFree;
+        this.onClosed = onClosed;
+        this.onUnrequestedBytes = onUnrequestedBytes;
+    }
+
     /**
-     * Wraps a connected channel.
+     * Adds the handlers of a connection to a channel.
      *
      * @param onFree called when the connection can carry another request
      * @param onClosed called once when the connection is closed
-     * @param onUnrequestedBytes called with what arrives while no request is in progress
+     * @param onUnrequestedBytes called when bytes arrive while no request is in progress, with the
+     *     response head if they begin with one; the connection is then closed
      */
-    OutboundConnection(
+    static OutboundConnection install(
             Channel channel,
             Consumer<OutboundConnection> onFree,
             Consumer<OutboundConnection> onClosed,
-            Consumer<HttpObject> onUnrequestedBytes) {
-        this.channel = channel;
-        this.onFree = onFree;
-        this.onClosed = onClosed;
-        this.onUnrequestedBytes = onUnrequestedBytes;
+            Consumer<Optional<HttpResponse>> onUnrequestedBytes) {
+        OutboundConnection connection =
+                new OutboundConnection(channel, onFree, onClosed, onUnrequestedBytes);
+        channel.pipeline()
+                .addLast(new HttpRequestEncoder())
+                .addLast(
+                        new StrictResponseDecoder(
+                                MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
+                .addLast(connection);
+        return connection;
     }
 
     /** Returns a short identifier of the connection for the log. */
@@ -82,16 +84,14 @@
 
     /** Returns the number of requests that the connection has carried, with the current one. */
     public int carriedRequestCount() {
-        return requests;
+        return state.requests();
     }
 
     /** Sends a request with a complete body. */
     public void send(HttpRequest head, ByteBuf body, ResponseListener responseListener) {
         listener = responseListener;
-        requests++;
-        discardingResponse = false;
-        discardedBytes = 0;
-        requestWritten = false;
+        state = state.sent(nextRequestId);
+        nextRequestId = Optional.empty();
         channel.writeAndFlush(
                         new DefaultFullHttpRequest(
                                 head.protocolVersion(),
@@ -102,10 +102,10 @@
                                 new DefaultHttpHeaders()))
                 .addListener(
                         written -> {
-                            requestWritten = written.isSuccess();
-                            if (!written.isSuccess()) {
-                                fail("write failed: " + written.cause());
-                                channel.close();
+                            if (written.isSuccess()) {
+                                state = state.written();
+                            } else {
+                                failAndClose("write failed: " + written.cause());
                             }
                         });
     }
@@ -113,6 +113,7 @@
     /** Cancels the request in progress: closes the connection without notifying the listener. */
     public void abort() {
         listener = null;
+        state = state.failed().next();
         channel.close();
     }
 
@@ -122,28 +123,27 @@
     }
 
     /**
-     * Returns whether the connection has carried another request before the current one, so that a
-     * late copy of an earlier response may still arrive.
+     * Decides to which request a response belongs.
+     *
+     * @param namedId identifier that the response names
+     * @return {@code USE}, {@code DISCARD} or {@code FAIL}
      */
-    public boolean isReused() {
-        return requests > 1;
+    public Decision ownerOf(Optional<String> namedId) {
+        return state.ownerOf(namedId);
     }
 
     /** Records that the next request on the connection has the identifier. */
     void recordRequest(String requestId) {
-        carriedRequests.add(StableHash.of(requestId));
+        nextRequestId = Optional.of(requestId);
     }
 
-    /**
-     * Returns whether the connection has carried a request with the identifier. Rarely also true
-     * for another identifier with the same hash.
-     */
+    /** Returns whether the connection has carried a request with the identifier. */
     boolean hasCarried(String requestId) {
-        return carriedRequests.contains(StableHash.of(requestId));
+        return state.hasCarried(requestId);
     }
 
     boolean isUsable() {
-        return channel.isActive() && listener == null;
+        return channel.isActive() && state.isIdle();
     }
 
     /**
@@ -161,82 +161,69 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
         if (listener == null) {
-            // Messages that were decoded before an aborted connection was closed are not reported.
-            if (channel.isOpen()) {
-                onUnrequestedBytes.accept(message);
+            unrequestedReceived(message);
+        } else if (message.decoderResult().isFailure()) {
+            failAndClose("malformed response");
+        } else {
+            if (message instanceof HttpResponse response) {
+                headReceived(response);
+            }
+            if (message instanceof HttpContent content && listener != null) {
+                contentReceived(content);
             }
-            channel.close();
-            return;
-        }
-        if (message.decoderResult().isFailure()) {
-            fail("malformed response");
-            channel.close();
-            return;
-        }
-        if (message instanceof HttpResponse response && !beginResponse(response)) {
-            return;
-        }
-        if (message instanceof HttpContent content && !isDiscardedWithoutEnd(content)) {
-            content(content);
         }
     }
 
-    /** Counts discarded bytes, and closes the connection if there are too many of them. */
-    private boolean isDiscardedWithoutEnd(HttpContent content) {
-        if (!discardingResponse) {
-            return false;
+    private void unrequestedReceived(HttpObject message) {
+        // Messages that were decoded before an aborted connection was closed are not reported.
+        if (channel.isOpen()) {
+            onUnrequestedBytes.accept(
+                    message instanceof HttpResponse head && message.decoderResult().isSuccess()
+                            ? Optional.of(head)
+                            : Optional.empty());
         }
-        discardedBytes += content.content().readableBytes();
-        discardedBytes += content instanceof LastHttpContent ? HEAD_BYTES : 0;
-        if (discardedBytes <= MAX_DISCARDED_BYTES) {
-            return false;
-        }
-        fail("too many bytes of responses to other requests");
+        state = state.unrequestedBytesReceived().next();
         channel.close();
-        return true;
     }
 
-    /**
-     * Processes a response head.
-     *
-     * @return false if the listener aborted the request
-     */
-    private boolean beginResponse(HttpResponse response) {
+    private void headReceived(HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            discardingResponse = true;
-            return true;
+            apply(state.interimHeadReceived());
+            return;
         }
-        if (MessageFraming.of(response) != MessageFraming.Result.CLEAR) {
-            fail("response whose length is ambiguous or whose transfer coding is not supported");
-            channel.close();
-            return false;
+        ConnectionState.BodyEnd bodyEnd = bodyEnd(response);
+        if (bodyEnd == ConnectionState.BodyEnd.UNCLEAR) {
+            failAndClose(
+                    "response whose length is ambiguous or whose transfer coding is not supported");
+            return;
         }
-        reusable = HttpUtil.isKeepAlive(response) && hasDelimitedBody(response);
         idleLimitMillis = KeepAlive.idleLimitMillis(response);
-        discardingResponse = !listener.head(response);
-        return listener != null;
+        Decision owner = listener.head(response) ? Decision.USE : Decision.DISCARD;
+        if (listener != null) {
+            apply(state.headReceived(owner, bodyEnd, HttpUtil.isKeepAlive(response)));
+        }
     }
 
-    private void content(HttpContent content) {
-        if (listener != null && !discardingResponse && content.content().isReadable()) {
+    private void contentReceived(HttpContent content) {
+        Decision decision = apply(state.bodyReceived(content.content().readableBytes()));
+        if (decision == Decision.USE && content.content().isReadable()) {
             listener.content(content.content());
         }
-        if (!(content instanceof LastHttpContent) || listener == null) {
-            return;
+        if (content instanceof LastHttpContent && listener != null) {
+            responseEnded();
         }
-        if (discardingResponse) {
-            discardingResponse = false;
+    }
+
+    private void responseEnded() {
+        if (state.phase() == ConnectionState.Phase.DISCARDING) {
+            apply(state.responseEnded(false));
             return;
         }
         ResponseListener completedListener = listener;
-        boolean isOwnResponse = completedListener.isOwnResponse();
+        ConnectionState.Transition end = state.responseEnded(completedListener.isOwnResponse());
+        state = end.next();
         listener = null;
-        // A server that responds before it has read the whole body still expects the rest of it.
-        if (isOwnResponse
-                && reusable
-                && requestWritten
-                && carriedRequests.size() < MAX_IDENTIFIED_REQUESTS
-                && channel.isActive()) {
+        if (end.decision() == Decision.KEEP && channel.isActive()) {
             channel.config().setAutoRead(true);
             onFree.accept(this);
         } else {
@@ -245,6 +232,14 @@
         completedListener.end();
     }
 
+    private Decision apply(ConnectionState.Transition transition) {
+        state = transition.next();
+        if (transition.decision() == Decision.FAIL) {
+            failAndClose("too many bytes of responses to other requests");
+        }
+        return transition.decision();
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         fail("connection closed");
@@ -253,20 +248,29 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-        fail(String.valueOf(cause.getMessage()));
+        failAndClose(String.valueOf(cause.getMessage()));
+    }
+
+    private void failAndClose(String reason) {
+        fail(reason);
         channel.close();
     }
 
     private void fail(String reason) {
         ResponseListener failedListener = listener;
         listener = null;
+        state = state.failed().next();
         if (failedListener != null) {
             failedListener.failed(reason);
         }
     }
 
-    private static boolean hasDelimitedBody(HttpResponse response) {
-        return HttpUtil.isContentLengthSet(response)
-                || HttpUtil.isTransferEncodingChunked(response);
+    private static ConnectionState.BodyEnd bodyEnd(HttpResponse response) {
+        if (MessageFraming.of(response) != MessageFraming.Result.CLEAR) {
+            return ConnectionState.BodyEnd.UNCLEAR;
+        }
+        return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
+                ? ConnectionState.BodyEnd.DELIMITED
+                : ConnectionState.BodyEnd.CONNECTION_CLOSE;
     }
 }
