Close a connection that receives a part of a response while idle

What callers saw: a success where the replica had answered with a failure. A late copy of an earlier 200 was cut off behind its status; the replica's 503 to the next request followed on the same connection.

Cause: bytes that are no complete head produce no message in the decoder, so OutboundConnection did not learn of them. The connection stayed in the pool, and the bytes became the beginning of the next response: "HTTP/1.1 200 OK" of the copy and the fields and body of the 503. The same happened to a part of a copy in the read that ends a response; what follows the response in that read could also be given to a request that was sent from within its end.

The connection is freed, and the end of the response is passed on, only at the end of the read. Bytes beyond the response, or on an idle connection, close the connection and are reported.

Cuts that arrive after the next request was sent are not covered by this change.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ConnectionState.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ConnectionState.java
@@ -52,6 +52,8 @@
         READING,
         /** An interim response, or a response to another request, is being read. */
         DISCARDING,
+        /** The response is complete, but more bytes may follow it in the same read. */
+        COMPLETE,
         /** The connection carries no further request. */
         RETIRED
     }
@@ -194,7 +196,8 @@
      *
      * @param isOwnResponse whether the complete response certainly belongs to the request
      * @return {@code DISCARD} or {@code FAIL} if another response is still due; otherwise {@code
-     *     KEEP} or {@code CLOSE}
+     *     KEEP} if the connection may be used again unless more bytes follow in the same read, or
+     *     {@code CLOSE}
      */
     public Transition responseEnded(boolean isOwnResponse) {
         if (phase == Phase.DISCARDING) {
@@ -207,10 +210,26 @@
                         && request.written()
                         && carriedIds.size() < MAX_IDENTIFIED_REQUESTS;
         return isKept
-                ? new Transition(in(Phase.IDLE), Decision.KEEP)
+                ? new Transition(in(Phase.COMPLETE), Decision.KEEP)
                 : new Transition(in(Phase.RETIRED), Decision.CLOSE);
     }
 
+    /**
+     * Handles the end of a read.
+     *
+     * @param withinResponse whether bytes were received after the last complete response
+     * @return {@code KEEP} or {@code CLOSE}, or {@code USE} while a request is in progress
+     */
+    public Transition readEnded(boolean withinResponse) {
+        if (isWithinRequest()) {
+            return new Transition(this, Decision.USE);
+        }
+        if (phase == Phase.RETIRED || withinResponse) {
+            return unrequestedBytesReceived();
+        }
+        return new Transition(in(Phase.IDLE), Decision.KEEP);
+    }
+
     /** Handles bytes that arrive while no request is in progress. */
     public Transition unrequestedBytesReceived() {
         return new Transition(in(Phase.RETIRED), Decision.CLOSE);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
@@ -33,21 +33,25 @@
     private static final int MAX_CHUNK_BYTES = 65_536;
 
     private final Channel channel;
+    private final StrictResponseDecoder decoder;
     private final Consumer<OutboundConnection> onFree;
     private final Consumer<OutboundConnection> onClosed;
     private final Consumer<Optional<HttpResponse>> onUnrequestedBytes;
 
     private ConnectionState state = ConnectionState.NEW;
     private ResponseListener listener;
+    private ResponseListener completedListener;
     private Optional<String> nextRequestId = Optional.empty();
     private long idleLimitMillis;
 
     private OutboundConnection(
             Channel channel,
+            StrictResponseDecoder decoder,
             Consumer<OutboundConnection> onFree,
             Consumer<OutboundConnection> onClosed,
             Consumer<Optional<HttpResponse>> onUnrequestedBytes) {
         this.channel = channel;
+        this.decoder = decoder;
         this.onFree = onFree;
         this.onClosed = onClosed;
         this.onUnrequestedBytes = onUnrequestedBytes;
@@ -66,14 +70,12 @@
             Consumer<OutboundConnection> onFree,
             Consumer<OutboundConnection> onClosed,
             Consumer<Optional<HttpResponse>> onUnrequestedBytes) {
+        StrictResponseDecoder decoder =
+                new StrictResponseDecoder(
+                        MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
         OutboundConnection connection =
-                new OutboundConnection(channel, onFree, onClosed, onUnrequestedBytes);
-        channel.pipeline()
-                .addLast(new HttpRequestEncoder())
-                .addLast(
-                        new StrictResponseDecoder(
-                                MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                .addLast(connection);
+                new OutboundConnection(channel, decoder, onFree, onClosed, onUnrequestedBytes);
+        channel.pipeline().addLast(new HttpRequestEncoder()).addLast(decoder).addLast(connection);
         return connection;
     }
 
@@ -113,6 +115,7 @@
     /** Cancels the request in progress: closes the connection without notifying the listener. */
     public void abort() {
         listener = null;
+        completedListener = null;
         state = state.failed().next();
         channel.close();
     }
@@ -161,7 +164,10 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
         if (listener == null) {
-            unrequestedReceived(message);
+            unrequestedReceived(
+                    message instanceof HttpResponse head && message.decoderResult().isSuccess()
+                            ? Optional.of(head)
+                            : Optional.empty());
         } else if (message.decoderResult().isFailure()) {
             failAndClose("malformed response");
         } else {
@@ -174,18 +180,45 @@
         }
     }
 
-    private void unrequestedReceived(HttpObject message) {
+    private void unrequestedReceived(Optional<HttpResponse> head) {
         // Messages that were decoded before an aborted connection was closed are not reported.
         if (channel.isOpen()) {
-            onUnrequestedBytes.accept(
-                    message instanceof HttpResponse head && message.decoderResult().isSuccess()
-                            ? Optional.of(head)
-                            : Optional.empty());
+            onUnrequestedBytes.accept(head);
         }
         state = state.unrequestedBytesReceived().next();
         channel.close();
     }
 
+    /**
+     * Frees the connection only now, because what follows a response in the same read cannot belong
+     * to the next request. A part of a head leaves no message, and would become the beginning of
+     * the next response.
+     */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        ConnectionState.Phase phase = state.phase();
+        ConnectionState.Transition transition = state.readEnded(decoder.isWithinResponse());
+        if (transition.decision() == Decision.CLOSE && phase != ConnectionState.Phase.RETIRED) {
+            unrequestedReceived(Optional.empty());
+        }
+        state = transition.next();
+        if (phase == ConnectionState.Phase.COMPLETE && state.isIdle() && channel.isActive()) {
+            channel.config().setAutoRead(true);
+            onFree.accept(this);
+        }
+        endCompleted();
+        ctx.fireChannelReadComplete();
+    }
+
+    /** Tells the listener of a complete response of its end. */
+    private void endCompleted() {
+        ResponseListener endedListener = completedListener;
+        completedListener = null;
+        if (endedListener != null) {
+            endedListener.end();
+        }
+    }
+
     private void headReceived(HttpResponse response) {
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             apply(state.interimHeadReceived());
@@ -219,17 +252,14 @@
             apply(state.responseEnded(false));
             return;
         }
-        ResponseListener completedListener = listener;
-        ConnectionState.Transition end = state.responseEnded(completedListener.isOwnResponse());
+        ConnectionState.Transition end = state.responseEnded(listener.isOwnResponse());
         state = end.next();
+        completedListener = listener;
         listener = null;
-        if (end.decision() == Decision.KEEP && channel.isActive()) {
-            channel.config().setAutoRead(true);
-            onFree.accept(this);
-        } else {
+        if (end.decision() == Decision.CLOSE) {
             channel.close();
+            endCompleted();
         }
-        completedListener.end();
     }
 
     private Decision apply(ConnectionState.Transition transition) {
@@ -242,6 +272,7 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        endCompleted();
         fail("connection closed");
         onClosed.accept(this);
     }
@@ -252,6 +283,7 @@
     }
 
     private void failAndClose(String reason) {
+        endCompleted();
         fail(reason);
         channel.close();
     }
