Reject a response head that begins with a cut copy of another one

What callers saw: a success where the replica had answered with a failure. The replica began to repeat an earlier 200 after the next request had been sent, broke off, and then answered that request with 503.

Cause: the decoder reads a cut head and the head after it as one. If the cut is in the reason phrase or in the value of a field, the result is well-formed: the status is that of the copy, the identifier, the signature and the body are those of the failure. The decoder also accepts names of protocols that end with HTTP and statuses that are not three digits.

Change: a status line must be that of HTTP/1.0 or HTTP/1.1 with a status of three digits, and neither its reason phrase nor the value of a field may contain a status line. Such a response is no response: the request has failed with an unknown result. A cut at any other byte already makes a malformed head.

Evidence: IncompleteCopyTest.failureAfterACutCopyIsNotTakenForASuccess cuts the copy at each of its 71 bytes and then sends the 503.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
@@ -220,6 +220,10 @@
     }
 
     private void headReceived(HttpResponse response) {
+        if (StrictResponseDecoder.containsOtherHead(response)) {
+            failAndClose("response head that contains another one");
+            return;
+        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             apply(state.interimHeadReceived());
             return;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
@@ -5,14 +5,23 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.util.Iterator;
 import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
 
 /**
- * Response decoder that rejects responses with both a length and chunked encoding, which the
- * standard decoder reads as if the length was missing.
+ * Response decoder that rejects heads which the standard decoder accepts although they are not
+ * those of one response: heads with both a length and chunked encoding, with a malformed status
+ * line, or with the status line of another response in them. Such a head begins with a cut copy of
+ * an earlier response, whose status would be taken for that of the response that follows.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
 
+    private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
+    private static final Pattern STATUS = Pattern.compile("[1-9]\\d{2}");
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
+
     private boolean decodedPart;
 
     StrictResponseDecoder(int maxInitialLineLength, int maxHeaderSize, int maxChunkSize) {
@@ -34,6 +43,32 @@
         }
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        if (!VERSION.matcher(initialLine[0]).matches()
+                || !STATUS.matcher(initialLine[1]).matches()
+                || containsStatusLine(initialLine[2])) {
+            throw new IllegalArgumentException("malformed status line");
+        }
+        return super.createMessage(initialLine);
+    }
+
+    /** Returns whether a field of a head contains the beginning of another head. */
+    static boolean containsOtherHead(HttpMessage head) {
+        Iterator<Map.Entry<CharSequence, CharSequence>> fields =
+                head.headers().iteratorCharSequence();
+        while (fields.hasNext()) {
+            if (containsStatusLine(fields.next().getValue())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean containsStatusLine(CharSequence text) {
+        return STATUS_LINE.matcher(text).find();
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException(
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/http/IncompleteCopyTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/http/IncompleteCopyTest.java
@@ -17,6 +17,9 @@
     private static final String COPY =
             "HTTP/1.1 200 OK\r\nServer: s\r\nRequest-Id: first\r\nContent-Length: 4\r\n\r\ndone";
 
+    private static final String FAILURE =
+            ConnectionFixture.response("503 Service Unavailable", "second", "full");
+
     @TestFactory
     Stream<DynamicTest> cutCopyOnAnIdleConnectionEndsItsUse() {
         return IntStream.range(1, COPY.length())
@@ -54,6 +57,27 @@
                                         }));
     }
 
+    @TestFactory
+    Stream<DynamicTest> failureAfterACutCopyIsNotTakenForASuccess() {
+        return IntStream.range(1, COPY.length())
+                .mapToObj(
+                        length ->
+                                DynamicTest.dynamicTest(
+                                        "after " + length + " bytes",
+                                        () -> cutCopyArrivesBeforeTheFailure(length)));
+    }
+
+    private static void cutCopyArrivesBeforeTheFailure(int length) {
+        ConnectionFixture fixture = new ConnectionFixture();
+        fixture.send("first");
+        fixture.receive(COPY);
+        Recorder second = fixture.send("second");
+        fixture.receive(COPY.substring(0, length));
+        fixture.receive(FAILURE);
+        assertFalse(second.ended() && second.status() != 503, second::toString);
+        assertFalse(second.ended() && !second.body().equals("full"), second::toString);
+    }
+
     @Test
     void controlCharactersOnAnIdleConnectionEndItsUse() {
         ConnectionFixture fixture = new ConnectionFixture();
