Fail a response whose body is completed by another response

What callers saw: a success with the replica's signature and of the right length whose end was the head and the beginning of the replica's next answer.

Cause: a replica may cut an answer off, keep the connection and answer once more. The length of the first answer is then reached with bytes of the second one, whatever request that one belongs to. Nothing in the framing shows it.

Change: EmbeddedHeadSearch searches the bodies of responses for a status line that is followed by a field whose value is the identifier of a request that the connection has carried. A status line that begins at the end of the body counts if the next bytes of the same read continue it, since too little of the head is in the body then. Such a response has failed. A body that only contains text like a status line is passed on.

What remains: if fewer bytes are missing than the second head has up to its identifier, and a read ends exactly with them, the body looks complete.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
@@ -1,6 +1,8 @@
 package org.sequoiaspindle.daemon.transport.http;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -14,10 +16,12 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.sequoiaspindle.core.coordination.forwarding.ConnectionState;
 import org.sequoiaspindle.core.coordination.forwarding.ConnectionState.Decision;
+import org.sequoiaspindle.core.coordination.forwarding.EmbeddedHeadSearch;
 
 /**
  * A connection to a server that carries one request at a time. Confined to the event loop of the
@@ -28,6 +32,18 @@
  */
 public final class OutboundConnection extends SimpleChannelInboundHandler<HttpObject> {
 
+    private static final ByteBuf STATUS_LINE_START =
+            Unpooled.unreleasableBuffer(
+                            Unpooled.copiedBuffer(
+                                    EmbeddedHeadSearch.PROTOCOL, StandardCharsets.US_ASCII))
+                    .asReadOnly();
+
+    /** Enough to recognise the beginning of a status line. */
+    private static final int MAX_STATUS_CHARACTERS = 16;
+
+    private static final String COMPLETED_BY_ANOTHER_RESPONSE =
+            "response whose body contains the head of another one";
+
     private static final int MAX_INITIAL_LINE_BYTES = 4_096;
     private static final int MAX_HEADER_BYTES = 32_768;
     private static final int MAX_CHUNK_BYTES = 65_536;
@@ -39,6 +55,7 @@
     private final Consumer<Optional<HttpResponse>> onUnrequestedBytes;
 
     private ConnectionState state = ConnectionState.NEW;
+    private EmbeddedHeadSearch embeddedHeads = EmbeddedHeadSearch.START;
     private ResponseListener listener;
     private ResponseListener completedListener;
     private Optional<String> nextRequestId = Optional.empty();
@@ -235,6 +252,7 @@
             return;
         }
         idleLimitMillis = KeepAlive.idleLimitMillis(response);
+        embeddedHeads = EmbeddedHeadSearch.START;
         Decision owner = listener.head(response) ? Decision.USE : Decision.DISCARD;
         if (listener != null) {
             apply(state.headReceived(owner, bodyEnd, HttpUtil.isKeepAlive(response)));
@@ -244,18 +262,44 @@
     private void contentReceived(HttpContent content) {
         Decision decision = apply(state.bodyReceived(content.content().readableBytes()));
         if (decision == Decision.USE && content.content().isReadable()) {
-            listener.content(content.content());
+            search(content.content());
+            if (listener != null) {
+                listener.content(content.content());
+            }
         }
         if (content instanceof LastHttpContent && listener != null) {
             responseEnded();
         }
     }
 
+    /** Fails the request if its response was cut off and another one follows in its place. */
+    private void search(ByteBuf content) {
+        ByteBuf bytes = content.slice();
+        int start = 0;
+        if (embeddedHeads.pending().isEmpty()) {
+            int match = ByteBufUtil.indexOf(STATUS_LINE_START, bytes);
+            int lastBytes = bytes.writerIndex() - STATUS_LINE_START.readableBytes() + 1;
+            start = match >= 0 ? match : Math.max(0, lastBytes);
+        }
+        embeddedHeads =
+                embeddedHeads.after(
+                        bytes.toString(
+                                start, bytes.writerIndex() - start, StandardCharsets.ISO_8859_1),
+                        state::hasCarried);
+        if (embeddedHeads.found()) {
+            failAndClose(COMPLETED_BY_ANOTHER_RESPONSE);
+        }
+    }
+
     private void responseEnded() {
         if (state.phase() == ConnectionState.Phase.DISCARDING) {
             apply(state.responseEnded(false));
             return;
         }
+        if (embeddedHeads.isContinuedBy(decoder.undecodedCharacters(MAX_STATUS_CHARACTERS))) {
+            failAndClose(COMPLETED_BY_ANOTHER_RESPONSE);
+            return;
+        }
         ConnectionState.Transition end = state.responseEnded(listener.isOwnResponse());
         state = end.next();
         completedListener = listener;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
@@ -5,10 +5,12 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
+import org.sequoiaspindle.core.coordination.forwarding.EmbeddedHeadSearch;
 
 /**
  * Response decoder that rejects heads which the standard decoder accepts although they are not
@@ -20,7 +22,6 @@
 
     private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
     private static final Pattern STATUS = Pattern.compile("[1-9]\\d{2}");
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
 
     private boolean decodedPart;
 
@@ -28,6 +29,15 @@
         super(maxInitialLineLength, maxHeaderSize, maxChunkSize);
     }
 
+    /** Returns the first bytes after the last message that was decoded, as characters. */
+    String undecodedCharacters(int maxLength) {
+        ByteBuf bytes = internalBuffer();
+        return bytes.toString(
+                bytes.readerIndex(),
+                Math.min(maxLength, bytes.readableBytes()),
+                StandardCharsets.ISO_8859_1);
+    }
+
     /** Returns whether bytes were received after the last complete response. */
     boolean isWithinResponse() {
         return decodedPart || actualReadableBytes() > 0;
@@ -47,7 +57,7 @@
     protected HttpMessage createMessage(String[] initialLine) {
         if (!VERSION.matcher(initialLine[0]).matches()
                 || !STATUS.matcher(initialLine[1]).matches()
-                || containsStatusLine(initialLine[2])) {
+                || EmbeddedHeadSearch.containsStatusLine(initialLine[2])) {
             throw new IllegalArgumentException("malformed status line");
         }
         return super.createMessage(initialLine);
@@ -58,17 +68,13 @@
         Iterator<Map.Entry<CharSequence, CharSequence>> fields =
                 head.headers().iteratorCharSequence();
         while (fields.hasNext()) {
-            if (containsStatusLine(fields.next().getValue())) {
+            if (EmbeddedHeadSearch.containsStatusLine(fields.next().getValue().toString())) {
                 return true;
             }
         }
         return false;
     }
 
-    private static boolean containsStatusLine(CharSequence text) {
-        return STATUS_LINE.matcher(text).find();
-    }
-
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException(
--- /dev/null
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/http/ResponseBoundaryTest.java
@@ -0,0 +1,40 @@
+package org.sequoiaspindle.daemon.transport.http;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.daemon.transport.http.ConnectionFixture.Recorder;
+
+/** Guards against responses whose end is found at the wrong place. */
+final class ResponseBoundaryTest {
+
+    private static final String FIRST = ConnectionFixture.response("200 OK", "first", "first body");
+
+    private final ConnectionFixture fixture = new ConnectionFixture();
+
+    /** The replica breaks off without closing the connection, and then answers once more. */
+    @Test
+    void bodyThatIsCompletedByTheNextResponseIsNotTakenForComplete() {
+        String body = "0123456789".repeat(20);
+        String response = ConnectionFixture.response("200 OK", "first", body);
+        for (int missing = 1; missing <= body.length(); missing++) {
+            ConnectionFixture cutFixture = new ConnectionFixture();
+            Recorder recorder = cutFixture.send("first");
+            cutFixture.receive(response.substring(0, response.length() - missing));
+            cutFixture.receive(response);
+            assertFalse(recorder.ended(), missing + " bytes missing: " + recorder);
+            assertTrue(recorder.failed(), missing + " bytes missing");
+        }
+    }
+
+    @Test
+    void bytesAfterACompleteResponseDoNotFailItsRequest() {
+        for (String more : new String[] {FIRST, "H", "HTTP/1.1 200", "\r\n"}) {
+            ConnectionFixture followedFixture = new ConnectionFixture();
+            Recorder recorder = followedFixture.send("first");
+            followedFixture.receive(FIRST + more);
+            assertTrue(recorder.ended(), recorder::toString);
+        }
+    }
+}
