End the response to a HEAD request with its head

What callers saw: a HEAD request got no answer before its deadline, and a late answer of the replica on the same connection would have been taken for the announced body.

Cause: the decoder does not know the method of the request and waits for the body whose length the head states.

Change: the decoder is told for each request whether its response has a body. A connection is not used again after a HEAD request, since a copy of its response would take the body that it announces from the response after it.

Evidence: two tests of ResponseBoundaryTest, which failed before: the response did not end, and the connection was used again.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ConnectionState.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ConnectionState.java
@@ -86,11 +86,12 @@
      * A request on the connection.
      *
      * @param id hash of the identifier, empty if responses do not name requests
+     * @param hasBodilessResponse whether the response has no body whatever its head announces
      * @param written whether the whole request has been written
      */
-    public record Request(Optional<Long> id, boolean written) {
+    public record Request(Optional<Long> id, boolean hasBodilessResponse, boolean written) {
 
-        static final Request NONE = new Request(Optional.empty(), true);
+        static final Request NONE = new Request(Optional.empty(), false, true);
     }
 
     /** The state after an event, and what to do. */
@@ -118,14 +119,15 @@
      * Returns the state after a request was sent.
      *
      * @param requestId identifier that responses name, empty if they name none
+     * @param hasBodilessResponse whether the response has no body whatever its head announces
      */
-    public ConnectionState sent(Optional<String> requestId) {
+    public ConnectionState sent(Optional<String> requestId, boolean hasBodilessResponse) {
         Optional<Long> id = requestId.map(StableHash::of);
         return new ConnectionState(
                 id.map(carriedIds::add).orElse(carriedIds),
                 requests + 1,
                 Phase.AWAITING_HEAD,
-                new Request(id, false),
+                new Request(id, hasBodilessResponse, false),
                 false,
                 0);
     }
@@ -136,7 +138,7 @@
                 carriedIds,
                 requests,
                 phase,
-                new Request(request.id(), true),
+                new Request(request.id(), request.hasBodilessResponse(), true),
                 reusable,
                 discardedBytes);
     }
@@ -176,7 +178,10 @@
         if (owner == Decision.DISCARD) {
             return new Transition(in(Phase.DISCARDING), Decision.DISCARD);
         }
-        boolean leavesUsable = keepAlive && bodyEnd == BodyEnd.DELIMITED;
+        // A copy of a bodiless response announces bytes that do not follow, and would be completed
+        // by the response to the next request.
+        boolean leavesUsable =
+                keepAlive && bodyEnd == BodyEnd.DELIMITED && !request.hasBodilessResponse();
         return new Transition(
                 new ConnectionState(
                         carriedIds, requests, Phase.READING, request, leavesUsable, discardedBytes),
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
@@ -109,7 +110,9 @@
     /** Sends a request with a complete body. */
     public void send(HttpRequest head, ByteBuf body, ResponseListener responseListener) {
         listener = responseListener;
-        state = state.sent(nextRequestId);
+        boolean isHead = head.method().equals(HttpMethod.HEAD);
+        state = state.sent(nextRequestId, isHead);
+        decoder.expectNoBody(isHead);
         nextRequestId = Optional.empty();
         channel.writeAndFlush(
                         new DefaultFullHttpRequest(
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
@@ -24,6 +24,7 @@
     private static final Pattern STATUS = Pattern.compile("[1-9]\\d{2}");
 
     private boolean decodedPart;
+    private boolean expectsNoBody;
 
     StrictResponseDecoder(int maxInitialLineLength, int maxHeaderSize, int maxChunkSize) {
         super(maxInitialLineLength, maxHeaderSize, maxChunkSize);
@@ -38,6 +39,17 @@
                 StandardCharsets.ISO_8859_1);
     }
 
+    /** Sets whether the response to the request that is sent now has no body. */
+    void expectNoBody(boolean enabled) {
+        expectsNoBody = enabled;
+    }
+
+    /** The length in the response to a HEAD request is that of the response to a GET request. */
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return expectsNoBody || super.isContentAlwaysEmpty(message);
+    }
+
     /** Returns whether bytes were received after the last complete response. */
     boolean isWithinResponse() {
         return decodedPart || actualReadableBytes() > 0;
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/http/ResponseBoundaryTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/http/ResponseBoundaryTest.java
@@ -1,8 +1,10 @@
 package org.sequoiaspindle.daemon.transport.http;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.handler.codec.http.HttpMethod;
 import org.junit.jupiter.api.Test;
 import org.sequoiaspindle.daemon.transport.http.ConnectionFixture.Recorder;
 
@@ -13,6 +15,23 @@
 
     private final ConnectionFixture fixture = new ConnectionFixture();
 
+    /** The length is that of the body of a GET request; waiting for it lasts until the deadline. */
+    @Test
+    void responseToAHeadRequestEndsWithItsHead() {
+        Recorder head = fixture.send(HttpMethod.HEAD, "first", false);
+        fixture.receive("HTTP/1.1 200 OK\r\nRequest-Id: first\r\nContent-Length: 10\r\n\r\n");
+        assertTrue(head.ended(), head::toString);
+        assertEquals("", head.body());
+    }
+
+    /** A copy of the response would take its announced body from the response after it. */
+    @Test
+    void connectionIsNotUsedAgainAfterAHeadRequest() {
+        fixture.send(HttpMethod.HEAD, "first", false);
+        fixture.receive("HTTP/1.1 200 OK\r\nRequest-Id: first\r\nContent-Length: 0\r\n\r\n");
+        assertFalse(fixture.isReusable());
+    }
+
     /** The replica breaks off without closing the connection, and then answers once more. */
     @Test
     void bodyThatIsCompletedByTheNextResponseIsNotTakenForComplete() {
