Fail a request behind a copy that only ends with the connection

What callers saw: no answer until the deadline, where another replica could have answered.

Cause: a late copy without a length and without chunks takes all later bytes of the connection as its body, also the response to the request in progress. The request waited for a response that could not be recognised any more.

Change: the request fails when the head of such a copy arrives, so that it is sent to another replica if its route allows that.

Evidence: ResponseBoundaryTest.requestBehindACopyThatOnlyEndsWithTheConnectionFailsAtOnce failed before.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ConnectionState.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ConnectionState.java
@@ -176,7 +176,10 @@
             return failed();
         }
         if (owner == Decision.DISCARD) {
-            return new Transition(in(Phase.DISCARDING), Decision.DISCARD);
+            // The response to the request could not be told from the rest of this body.
+            return bodyEnd == BodyEnd.CONNECTION_CLOSE
+                    ? failed()
+                    : new Transition(in(Phase.DISCARDING), Decision.DISCARD);
         }
         // A copy of a bodiless response announces bytes that do not follow, and would be completed
         // by the response to the next request.
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
@@ -45,6 +45,9 @@
     private static final String COMPLETED_BY_ANOTHER_RESPONSE =
             "response whose body contains the head of another one";
 
+    private static final String TOO_MANY_DISCARDED_BYTES =
+            "too many bytes of responses to other requests";
+
     private static final int MAX_INITIAL_LINE_BYTES = 4_096;
     private static final int MAX_HEADER_BYTES = 32_768;
     private static final int MAX_CHUNK_BYTES = 65_536;
@@ -245,7 +248,7 @@
             return;
         }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-            apply(state.interimHeadReceived());
+            apply(state.interimHeadReceived(), TOO_MANY_DISCARDED_BYTES);
             return;
         }
         ConnectionState.BodyEnd bodyEnd = bodyEnd(response);
@@ -258,12 +261,17 @@
         embeddedHeads = EmbeddedHeadSearch.START;
         Decision owner = listener.head(response) ? Decision.USE : Decision.DISCARD;
         if (listener != null) {
-            apply(state.headReceived(owner, bodyEnd, HttpUtil.isKeepAlive(response)));
+            apply(
+                    state.headReceived(owner, bodyEnd, HttpUtil.isKeepAlive(response)),
+                    "response to another request that only ends with the connection");
         }
     }
 
     private void contentReceived(HttpContent content) {
-        Decision decision = apply(state.bodyReceived(content.content().readableBytes()));
+        Decision decision =
+                apply(
+                        state.bodyReceived(content.content().readableBytes()),
+                        TOO_MANY_DISCARDED_BYTES);
         if (decision == Decision.USE && content.content().isReadable()) {
             search(content.content());
             if (listener != null) {
@@ -296,7 +304,7 @@
 
     private void responseEnded() {
         if (state.phase() == ConnectionState.Phase.DISCARDING) {
-            apply(state.responseEnded(false));
+            apply(state.responseEnded(false), TOO_MANY_DISCARDED_BYTES);
             return;
         }
         if (embeddedHeads.isContinuedBy(decoder.undecodedCharacters(MAX_STATUS_CHARACTERS))) {
@@ -313,10 +321,10 @@
         }
     }
 
-    private Decision apply(ConnectionState.Transition transition) {
+    private Decision apply(ConnectionState.Transition transition, String reason) {
         state = transition.next();
         if (transition.decision() == Decision.FAIL) {
-            failAndClose("too many bytes of responses to other requests");
+            failAndClose(reason);
         }
         return transition.decision();
     }
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/http/ResponseBoundaryTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/http/ResponseBoundaryTest.java
@@ -56,4 +56,14 @@
             assertTrue(recorder.ended(), recorder::toString);
         }
     }
+
+    /** All later bytes are its body, so the response to the request cannot arrive any more. */
+    @Test
+    void requestBehindACopyThatOnlyEndsWithTheConnectionFailsAtOnce() {
+        fixture.send("first");
+        fixture.receive(FIRST);
+        Recorder second = fixture.send("second");
+        fixture.receive("HTTP/1.1 200 OK\r\nRequest-Id: first\r\n\r\nfirst body");
+        assertTrue(second.failed(), second::toString);
+    }
 }
