Fail a request that is answered with a switch of the protocol

What callers saw: no answer until the deadline, while the replica could send any number of bytes that nothing counted.

Cause: 101 was discarded like other interim responses, but the decoder passes all bytes after it on without decoding them, so no response could follow. No request asks for another protocol, because the field Upgrade is not passed on.

Change: 101 fails the request and closes the connection.

Evidence: ResponseBoundaryTest.requestIsNotAnsweredByASwitchOfProtocols failed before.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -247,6 +248,11 @@
             failAndClose("response head that contains another one");
             return;
         }
+        if (response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            // The decoder passes the bytes that follow on without decoding them.
+            failAndClose("switch of the protocol, which was not requested");
+            return;
+        }
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             apply(state.interimHeadReceived(), TOO_MANY_DISCARDED_BYTES);
             return;
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/http/ResponseBoundaryTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/http/ResponseBoundaryTest.java
@@ -66,4 +66,14 @@
         fixture.receive("HTTP/1.1 200 OK\r\nRequest-Id: first\r\n\r\nfirst body");
         assertTrue(second.failed(), second::toString);
     }
+
+    /** The decoder does not decode what follows, so nothing would limit or end it. */
+    @Test
+    void requestIsNotAnsweredByASwitchOfProtocols() {
+        Recorder recorder = fixture.send("first");
+        fixture.receive("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n");
+        fixture.receive(FIRST);
+        assertTrue(recorder.failed(), recorder::toString);
+        assertFalse(fixture.isReusable());
+    }
 }
