--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
@@ -1,18 +1,92 @@
 package org.sequoiaspindle.daemon.transport.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.nio.charset.StandardCharsets;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Pattern;
+import org.sequoiaspindle.core.coordination.forwarding.EmbeddedHeadSearch;
 
 /**
- * Response decoder that rejects responses with both a length and chunked encoding, which the
- * standard decoder reads as if the length was missing.
+ * Response decoder that rejects heads which the standard decoder accepts although they are not
+ * those of one response: heads with both a length and chunked encoding, with a malformed status
+ * line, or with the status line of another response in them. Such a head begins with a cut copy of
+ * an earlier response, whose status would be taken for that of the response that follows.
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
 
+    private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
+    private static final Pattern STATUS = Pattern.compile("[1-9]\\d{2}");
+
+    private boolean decodedPart;
+    private boolean expectsNoBody;
+
     StrictResponseDecoder(int maxInitialLineLength, int maxHeaderSize, int maxChunkSize) {
         super(maxInitialLineLength, maxHeaderSize, maxChunkSize);
     }
 
+    /** Returns the first bytes after the last message that was decoded, as characters. */
+    String undecodedCharacters(int maxLength) {
+        ByteBuf bytes = internalBuffer();
+        return bytes.toString(
+                bytes.readerIndex(),
+                Math.min(maxLength, bytes.readableBytes()),
+                StandardCharsets.ISO_8859_1);
+    }
+
+    /** Sets whether the response to the request that is sent now has no body. */
+    void expectNoBody(boolean enabled) {
+        expectsNoBody = enabled;
+    }
+
+    /** The length in the response to a HEAD request is that of the response to a GET request. */
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        return expectsNoBody || super.isContentAlwaysEmpty(message);
+    }
+
+    /** Returns whether bytes were received after the last complete response. */
+    boolean isWithinResponse() {
+        return decodedPart || actualReadableBytes() > 0;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out)
+            throws Exception {
+        int start = in.readerIndex();
+        super.decode(ctx, in, out);
+        if (in.readerIndex() > start) {
+            decodedPart = out.isEmpty() || !(out.get(out.size() - 1) instanceof LastHttpContent);
+        }
+    }
+
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        if (!VERSION.matcher(initialLine[0]).matches()
+                || !STATUS.matcher(initialLine[1]).matches()
+                || EmbeddedHeadSearch.containsStatusLine(initialLine[2])) {
+            throw new IllegalArgumentException("malformed status line");
+        }
+        return super.createMessage(initialLine);
+    }
+
+    /** Returns whether a field of a head contains the beginning of another head. */
+    static boolean containsOtherHead(HttpMessage head) {
+        Iterator<Map.Entry<CharSequence, CharSequence>> fields =
+                head.headers().iteratorCharSequence();
+        while (fields.hasNext()) {
+            if (EmbeddedHeadSearch.containsStatusLine(fields.next().getValue().toString())) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException(
