Count the idle time of a connection from its last response

What callers saw: a request that may run only once failed although no replica was at fault, because it was sent on a connection that its server closed at that moment.

Cause: a connection that a check takes from the pool and returns unused counted as idle from its return, while the timeout of the server runs from its last response. With each check, the pool kept it for another full timeout.

Change: the connection keeps the time of its last response.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ConnectionPool.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ConnectionPool.java
@@ -45,13 +45,11 @@
      */
     public record Destination(HostPort address, String processId) {}
 
-    private record IdleConnection(OutboundConnection connection, long idleSince) {}
-
     private final EventLoop loop;
     private final Class<? extends Channel> channelType;
     private final MillisClock clock;
     private final Consumer<UnrequestedBytes> onUnrequestedBytes;
-    private final Map<Destination, Deque<IdleConnection>> idleConnections = new HashMap<>();
+    private final Map<Destination, Deque<OutboundConnection>> idleConnections = new HashMap<>();
 
     /**
      * Creates an empty pool.
@@ -119,15 +117,14 @@
      */
     private OutboundConnection takeIdle(
             Destination destination, Predicate<OutboundConnection> isSuitable) {
-        Deque<IdleConnection> connections = idleConnections.get(destination);
+        Deque<OutboundConnection> connections = idleConnections.get(destination);
         if (connections == null) {
             return null;
         }
-        Iterator<IdleConnection> newestFirst = connections.descendingIterator();
+        Iterator<OutboundConnection> newestFirst = connections.descendingIterator();
         while (newestFirst.hasNext()) {
-            IdleConnection entry = newestFirst.next();
-            OutboundConnection connection = entry.connection();
-            if (!connection.isUsable() || isExpired(entry)) {
+            OutboundConnection connection = newestFirst.next();
+            if (!connection.isUsable() || isExpired(connection)) {
                 continue;
             }
             newestFirst.remove();
@@ -139,7 +136,10 @@
         return null;
     }
 
-    /** Returns an acquired connection that has not been used. */
+    /**
+     * Returns an acquired connection that has not been used. The server's timeout still runs from
+     * its last response.
+     */
     public void release(Destination destination, OutboundConnection connection) {
         returnToPool(destination, connection);
     }
@@ -178,7 +178,10 @@
     private void install(Channel channel, Destination destination) {
         OutboundConnection.install(
                 channel,
-                connection -> returnToPool(destination, connection),
+                connection -> {
+                    connection.recordIdleSince(clock.now());
+                    returnToPool(destination, connection);
+                },
                 connection -> removeClosed(destination, connection),
                 head -> reportUnrequested(destination, channel, head));
     }
@@ -192,24 +195,22 @@
     }
 
     private void returnToPool(Destination destination, OutboundConnection connection) {
-        idleConnections
-                .computeIfAbsent(destination, key -> new ArrayDeque<>())
-                .addLast(new IdleConnection(connection, clock.now()));
+        idleConnections.computeIfAbsent(destination, key -> new ArrayDeque<>()).addLast(connection);
     }
 
     private void removeClosed(Destination destination, OutboundConnection connection) {
-        Deque<IdleConnection> connections = idleConnections.get(destination);
+        Deque<OutboundConnection> connections = idleConnections.get(destination);
         if (connections == null) {
             return;
         }
-        connections.removeIf(entry -> entry.connection() == connection);
+        connections.remove(connection);
         if (connections.isEmpty()) {
             idleConnections.remove(destination);
         }
     }
 
-    private boolean isExpired(IdleConnection entry) {
-        return clock.now() - entry.idleSince() > entry.connection().idleLimitMillis();
+    private boolean isExpired(OutboundConnection connection) {
+        return clock.now() - connection.idleSince() > connection.idleLimitMillis();
     }
 
     private void closeExpired() {
@@ -217,6 +218,6 @@
                 .flatMap(Deque::stream)
                 .filter(this::isExpired)
                 .toList()
-                .forEach(entry -> entry.connection().close());
+                .forEach(OutboundConnection::close);
     }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
@@ -65,6 +65,7 @@
     private ResponseListener completedListener;
     private Optional<String> nextRequestId = Optional.empty();
     private long idleLimitMillis;
+    private long idleSince;
 
     private OutboundConnection(
             Channel channel,
@@ -173,6 +174,16 @@
         return channel.isActive() && state.isIdle();
     }
 
+    /** Records the time of the last response. */
+    void recordIdleSince(long now) {
+        idleSince = now;
+    }
+
+    /** Returns the time of the last response, 0 if there was none. */
+    long idleSince() {
+        return idleSince;
+    }
+
     /**
      * Returns the time for which the connection may be idle before reuse is unsafe, in
      * milliseconds.
