Split OutboundConnection

The search of a body, and what a head says about its connection, are classes of their own now; the decoder keeps its limits. No change of behaviour.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
@@ -1,8 +1,6 @@
 package org.sequoiaspindle.daemon.transport.http;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -18,12 +16,10 @@
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
-import java.nio.charset.StandardCharsets;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.sequoiaspindle.core.coordination.forwarding.ConnectionState;
 import org.sequoiaspindle.core.coordination.forwarding.ConnectionState.Decision;
-import org.sequoiaspindle.core.coordination.forwarding.EmbeddedHeadSearch;
 
 /**
  * A connection to a server that carries one request at a time. Confined to the event loop of the
@@ -34,33 +30,20 @@
  */
 public final class OutboundConnection extends SimpleChannelInboundHandler<HttpObject> {
 
-    private static final ByteBuf STATUS_LINE_START =
-            Unpooled.unreleasableBuffer(
-                            Unpooled.copiedBuffer(
-                                    EmbeddedHeadSearch.PROTOCOL, StandardCharsets.US_ASCII))
-                    .asReadOnly();
-
-    /** Enough to recognise the beginning of a status line. */
-    private static final int MAX_STATUS_CHARACTERS = 16;
-
     private static final String COMPLETED_BY_ANOTHER_RESPONSE =
             "response whose body contains the head of another one";
 
     private static final String TOO_MANY_DISCARDED_BYTES =
             "too many bytes of responses to other requests";
 
-    private static final int MAX_INITIAL_LINE_BYTES = 4_096;
-    private static final int MAX_HEADER_BYTES = 32_768;
-    private static final int MAX_CHUNK_BYTES = 65_536;
-
     private final Channel channel;
     private final StrictResponseDecoder decoder;
+    private final ResponseBodySearch bodySearch = new ResponseBodySearch();
     private final Consumer<OutboundConnection> onFree;
     private final Consumer<OutboundConnection> onClosed;
     private final Consumer<Optional<HttpResponse>> onUnrequestedBytes;
 
     private ConnectionState state = ConnectionState.NEW;
-    private EmbeddedHeadSearch embeddedHeads = EmbeddedHeadSearch.START;
     private ResponseListener listener;
     private ResponseListener completedListener;
     private Optional<String> nextRequestId = Optional.empty();
@@ -93,9 +76,7 @@
             Consumer<OutboundConnection> onFree,
             Consumer<OutboundConnection> onClosed,
             Consumer<Optional<HttpResponse>> onUnrequestedBytes) {
-        StrictResponseDecoder decoder =
-                new StrictResponseDecoder(
-                        MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
+        StrictResponseDecoder decoder = new StrictResponseDecoder();
         OutboundConnection connection =
                 new OutboundConnection(channel, decoder, onFree, onClosed, onUnrequestedBytes);
         channel.pipeline().addLast(new HttpRequestEncoder()).addLast(decoder).addLast(connection);
@@ -255,7 +236,7 @@
     }
 
     private void headReceived(HttpResponse response) {
-        if (StrictResponseDecoder.containsOtherHead(response)) {
+        if (ResponseHeads.containOther(response)) {
             failAndClose("response head that contains another one");
             return;
         }
@@ -268,14 +249,14 @@
             apply(state.interimHeadReceived(), TOO_MANY_DISCARDED_BYTES);
             return;
         }
-        ConnectionState.BodyEnd bodyEnd = bodyEnd(response);
+        ConnectionState.BodyEnd bodyEnd = ResponseHeads.bodyEnd(response);
         if (bodyEnd == ConnectionState.BodyEnd.UNCLEAR) {
             failAndClose(
                     "response whose length is ambiguous or whose transfer coding is not supported");
             return;
         }
         idleLimitMillis = KeepAlive.idleLimitMillis(response);
-        embeddedHeads = EmbeddedHeadSearch.START;
+        bodySearch.restart();
         Decision owner = listener.head(response) ? Decision.USE : Decision.DISCARD;
         if (listener != null) {
             apply(
@@ -290,41 +271,24 @@
                         state.bodyReceived(content.content().readableBytes()),
                         TOO_MANY_DISCARDED_BYTES);
         if (decision == Decision.USE && content.content().isReadable()) {
-            search(content.content());
-            if (listener != null) {
-                listener.content(content.content());
+            if (bodySearch.findsOtherHead(content.content(), state::hasCarried)) {
+                failAndClose(COMPLETED_BY_ANOTHER_RESPONSE);
+                return;
             }
+            listener.content(content.content());
         }
         if (content instanceof LastHttpContent && listener != null) {
             responseEnded();
         }
     }
 
-    /** Fails the request if its response was cut off and another one follows in its place. */
-    private void search(ByteBuf content) {
-        ByteBuf bytes = content.slice();
-        int start = 0;
-        if (embeddedHeads.pending().isEmpty()) {
-            int match = ByteBufUtil.indexOf(STATUS_LINE_START, bytes);
-            int lastBytes = bytes.writerIndex() - STATUS_LINE_START.readableBytes() + 1;
-            start = match >= 0 ? match : Math.max(0, lastBytes);
-        }
-        embeddedHeads =
-                embeddedHeads.after(
-                        bytes.toString(
-                                start, bytes.writerIndex() - start, StandardCharsets.ISO_8859_1),
-                        state::hasCarried);
-        if (embeddedHeads.found()) {
-            failAndClose(COMPLETED_BY_ANOTHER_RESPONSE);
-        }
-    }
-
     private void responseEnded() {
         if (state.phase() == ConnectionState.Phase.DISCARDING) {
             apply(state.responseEnded(false), TOO_MANY_DISCARDED_BYTES);
             return;
         }
-        if (embeddedHeads.isContinuedBy(decoder.undecodedCharacters(MAX_STATUS_CHARACTERS))) {
+        // The response was cut off, and the next one completes its body.
+        if (bodySearch.isContinuedBy(decoder.undecodedCharacters())) {
             failAndClose(COMPLETED_BY_ANOTHER_RESPONSE);
             return;
         }
@@ -372,13 +336,4 @@
             failedListener.failed(reason);
         }
     }
-
-    private static ConnectionState.BodyEnd bodyEnd(HttpResponse response) {
-        if (MessageFraming.of(response) != MessageFraming.Result.CLEAR) {
-            return ConnectionState.BodyEnd.UNCLEAR;
-        }
-        return HttpUtil.isContentLengthSet(response) || HttpUtil.isTransferEncodingChunked(response)
-                ? ConnectionState.BodyEnd.DELIMITED
-                : ConnectionState.BodyEnd.CONNECTION_CLOSE;
-    }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
@@ -6,9 +6,7 @@
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import java.util.regex.Pattern;
 import org.sequoiaspindle.core.coordination.forwarding.EmbeddedHeadSearch;
 
@@ -20,22 +18,33 @@
  */
 final class StrictResponseDecoder extends HttpResponseDecoder {
 
+    private static final int MAX_INITIAL_LINE_BYTES = 4_096;
+    private static final int MAX_HEADER_BYTES = 32_768;
+    private static final int MAX_CHUNK_BYTES = 65_536;
+
+    /** Enough to recognise the beginning of a status line. */
+    private static final int MAX_UNDECODED_CHARACTERS = 16;
+
     private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
     private static final Pattern STATUS = Pattern.compile("[1-9]\\d{2}");
 
     private boolean decodedPart;
     private boolean expectsNoBody;
 
+    StrictResponseDecoder() {
+        this(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
+    }
+
     StrictResponseDecoder(int maxInitialLineLength, int maxHeaderSize, int maxChunkSize) {
         super(maxInitialLineLength, maxHeaderSize, maxChunkSize);
     }
 
     /** Returns the first bytes after the last message that was decoded, as characters. */
-    String undecodedCharacters(int maxLength) {
+    String undecodedCharacters() {
         ByteBuf bytes = internalBuffer();
         return bytes.toString(
                 bytes.readerIndex(),
-                Math.min(maxLength, bytes.readableBytes()),
+                Math.min(MAX_UNDECODED_CHARACTERS, bytes.readableBytes()),
                 StandardCharsets.ISO_8859_1);
     }
 
@@ -75,18 +84,6 @@
         return super.createMessage(initialLine);
     }
 
-    /** Returns whether a field of a head contains the beginning of another head. */
-    static boolean containsOtherHead(HttpMessage head) {
-        Iterator<Map.Entry<CharSequence, CharSequence>> fields =
-                head.headers().iteratorCharSequence();
-        while (fields.hasNext()) {
-            if (EmbeddedHeadSearch.containsStatusLine(fields.next().getValue().toString())) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     @Override
     protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
         throw new IllegalArgumentException(
