--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ConnectionPool.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ConnectionPool.java
@@ -7,8 +7,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.http.HttpObject;
-import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -40,10 +38,6 @@
     /** Interval at which expired idle connections are closed, in milliseconds. */
     private static final long SWEEP_INTERVAL_MS = 1_000;
 
-    private static final int MAX_INITIAL_LINE_BYTES = 4_096;
-    private static final int MAX_HEADER_BYTES = 32_768;
-    private static final int MAX_CHUNK_BYTES = 65_536;
-
     /**
      * A server to connect to.
      *
@@ -51,13 +45,11 @@
      */
     public record Destination(HostPort address, String processId) {}
 
-    private record IdleConnection(OutboundConnection connection, long idleSince) {}
-
     private final EventLoop loop;
     private final Class<? extends Channel> channelType;
     private final MillisClock clock;
     private final Consumer<UnrequestedBytes> onUnrequestedBytes;
-    private final Map<Destination, Deque<IdleConnection>> idleConnections = new HashMap<>();
+    private final Map<Destination, Deque<OutboundConnection>> idleConnections = new HashMap<>();
 
     /**
      * Creates an empty pool.
@@ -125,15 +117,14 @@
      */
     private OutboundConnection takeIdle(
             Destination destination, Predicate<OutboundConnection> isSuitable) {
-        Deque<IdleConnection> connections = idleConnections.get(destination);
+        Deque<OutboundConnection> connections = idleConnections.get(destination);
         if (connections == null) {
             return null;
         }
-        Iterator<IdleConnection> newestFirst = connections.descendingIterator();
+        Iterator<OutboundConnection> newestFirst = connections.descendingIterator();
         while (newestFirst.hasNext()) {
-            IdleConnection entry = newestFirst.next();
-            OutboundConnection connection = entry.connection();
-            if (!connection.isUsable() || isExpired(entry)) {
+            OutboundConnection connection = newestFirst.next();
+            if (!connection.isUsable() || isExpired(connection)) {
                 continue;
             }
             newestFirst.remove();
@@ -145,7 +136,10 @@
         return null;
     }
 
-    /** Returns an acquired connection that has not been used. */
+    /**
+     * Returns an acquired connection that has not been used. The server's timeout still runs from
+     * its last response.
+     */
     public void release(Destination destination, OutboundConnection connection) {
         returnToPool(destination, connection);
     }
@@ -182,50 +176,41 @@
     }
 
     private void install(Channel channel, Destination destination) {
-        channel.pipeline()
-                .addLast(new HttpRequestEncoder())
-                .addLast(
-                        new StrictResponseDecoder(
-                                MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES))
-                .addLast(
-                        new OutboundConnection(
-                                channel,
-                                connection -> returnToPool(destination, connection),
-                                connection -> removeClosed(destination, connection),
-                                message -> reportUnrequested(destination, channel, message)));
+        OutboundConnection.install(
+                channel,
+                connection -> {
+                    connection.recordIdleSince(clock.now());
+                    returnToPool(destination, connection);
+                },
+                connection -> removeClosed(destination, connection),
+                head -> reportUnrequested(destination, channel, head));
     }
 
-    private void reportUnrequested(Destination destination, Channel channel, HttpObject message) {
+    private void reportUnrequested(
+            Destination destination, Channel channel, Optional<HttpResponse> head) {
         OutboundConnection connection = channel.pipeline().get(OutboundConnection.class);
         onUnrequestedBytes.accept(
                 new UnrequestedBytes(
-                        destination,
-                        connection.name(),
-                        connection.carriedRequestCount(),
-                        message instanceof HttpResponse head && message.decoderResult().isSuccess()
-                                ? Optional.of(head)
-                                : Optional.empty()));
+                        destination, connection.name(), connection.carriedRequestCount(), head));
     }
 
     private void returnToPool(Destination destination, OutboundConnection connection) {
-        idleConnections
-                .computeIfAbsent(destination, key -> new ArrayDeque<>())
-                .addLast(new IdleConnection(connection, clock.now()));
+        idleConnections.computeIfAbsent(destination, key -> new ArrayDeque<>()).addLast(connection);
     }
 
     private void removeClosed(Destination destination, OutboundConnection connection) {
-        Deque<IdleConnection> connections = idleConnections.get(destination);
+        Deque<OutboundConnection> connections = idleConnections.get(destination);
         if (connections == null) {
             return;
         }
-        connections.removeIf(entry -> entry.connection() == connection);
+        connections.remove(connection);
         if (connections.isEmpty()) {
             idleConnections.remove(destination);
         }
     }
 
-    private boolean isExpired(IdleConnection entry) {
-        return clock.now() - entry.idleSince() > entry.connection().idleLimitMillis();
+    private boolean isExpired(OutboundConnection connection) {
+        return clock.now() - connection.idleSince() > connection.idleLimitMillis();
     }
 
     private void closeExpired() {
@@ -233,6 +218,6 @@
                 .flatMap(Deque::stream)
                 .filter(this::isExpired)
                 .toList()
-                .forEach(entry -> entry.connection().close());
+                .forEach(OutboundConnection::close);
     }
 }
