Release results on connections of their own

Seen: in a test, a call of pieces fails although the replica executed it, and its results are lost to the request.

Cause: a call that releases results ends with any response, also with a late copy of the response to the call of pieces before it. The connection went back to the pool, and the true response to the release was then read by the next call of pieces. The responses to releases have no content by which they could be told apart.

Change: releases use connections of a destination of their own. A copy there can only be one of another release, whose response is not used. Connections are kept as before, so that at most one more per replica is opened where both kinds of call ran on the same event loop.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaHandleReleaser.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaHandleReleaser.java
@@ -30,6 +30,13 @@
     /** Maximum size of a response, whose content does not matter. */
     private static final int MAX_RESPONSE_BYTES = 64 * 1024;
 
+    /**
+     * Separates the connections of these calls from those of calls that execute pieces. Any
+     * response ends a call here, also a late copy of an earlier one, and on a common connection the
+     * true response would then be read by a call that executes pieces.
+     */
+    private static final String CONNECTION_SUFFIX = "/release";
+
     private final EventLoopWorker worker;
     private final StageCodec codec;
     private final Registry registry;
@@ -93,7 +100,8 @@
         worker.httpClient()
                 .execute(
                         new HttpCallClient.Call(
-                                new Destination(address, replica.get().id().toString()),
+                                new Destination(
+                                        address, replica.get().id().toString() + CONNECTION_SUFFIX),
                                 "POST",
                                 codec.releasePath(),
                                 Map.of(),
