Recognise copies of stage responses beyond the latest 512 results

Cause: a copy is recognised by its handles, and 512 handles of a replica were remembered.

Change: the first handle of the latest 512 responses of a replica is kept as well. A copy contains all handles of its response, so that one suffices.

Evidence: ReplicaPieceClientTest.copyOfAResponseBeforeManyLaterResultsIsNotUsed fails without the change.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClient.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClient.java
@@ -122,17 +122,17 @@
     /** Rejects a response with results that are not the replica's or that an earlier call made. */
     private Either<String, List<PieceResult>> requireNewHandles(
             Replica replica, List<PieceResult> results) {
-        for (PieceResult result : results) {
-            if (result instanceof PieceResult.Completed completed) {
-                boolean isFromReplica =
-                        codec.replicaAddress(completed.handle())
-                                .filter(replica.address()::equals)
-                                .isPresent();
-                if (!isFromReplica || !knownHandles.add(replica.id(), completed.handle())) {
-                    return Either.left("result of another call");
-                }
-            }
-        }
-        return Either.right(results);
+        List<String> handles =
+                results.stream()
+                        .filter(PieceResult.Completed.class::isInstance)
+                        .map(result -> ((PieceResult.Completed) result).handle())
+                        .toList();
+        boolean areFromReplica =
+                handles.stream()
+                        .map(codec::replicaAddress)
+                        .allMatch(address -> address.filter(replica.address()::equals).isPresent());
+        return areFromReplica && knownHandles.addAll(replica.id(), handles)
+                ? Either.right(results)
+                : Either.left("result of another call");
     }
 }
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClientTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClientTest.java
@@ -102,6 +102,31 @@
         }
     }
 
+    /** The copy has more results of later calls before it than the client remembers. */
+    @Test
+    void copyOfAResponseBeforeManyLaterResultsIsNotUsed() throws Exception {
+        int piecesOfACall = 100;
+        int lastCall = 12;
+        try (ScriptedServer server =
+                new ScriptedServer(
+                        connection -> {
+                            String first = results(connection, 1, piecesOfACall);
+                            for (int call = 1; !connection.readRequest().isEmpty(); call++) {
+                                connection.respond(
+                                        "200 OK",
+                                        call == lastCall
+                                                ? first
+                                                : results(connection, call, piecesOfACall));
+                            }
+                        })) {
+            Replica replica = replicaAt(server);
+            for (int call = 1; call < lastCall; call++) {
+                assertEquals(piecesOfACall, handles(execute(replica, piecesOfACall)).size());
+            }
+            assertInstanceOf(ReplicaPieceClient.Failed.class, execute(replica, piecesOfACall));
+        }
+    }
+
     private static void answerReleasesWithCopies(ScriptedServer.Connection connection)
             throws IOException {
         String previous = "";
