Take no load and no new pause from a late copy of an answer

Seen: in a test, a replica whose pause has ended is paused once more by the copy of its answer, and callers get 503 from it for that time.

Cause: an answer without an identifier on a connection in use again, and a stage response that repeats known results, may be late copies. What they say of the replica was recorded as of now.

Change: such answers only announce a shutdown, which is final, and a pause if the replica has not asked for one before: a copy can only repeat an earlier one. A pause that is missed this way costs one request per kept connection, because the connection is closed and an answer on a new one counts.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaAvailability.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaAvailability.java
@@ -37,6 +37,10 @@
         return leavingSince != NEVER;
     }
 
+    boolean hasAskedForPause() {
+        return pausedUntil != NEVER;
+    }
+
     boolean isPaused(long now) {
         return now < pausedUntil;
     }
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaStatus.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaStatus.java
@@ -65,6 +65,23 @@
         return !availability.getAndUpdate(current -> current.afterPause(millis, now)).isPaused(now);
     }
 
+    /**
+     * Records a pause that the replica asked for in an answer which may be a late copy of an
+     * earlier one. A copy can only repeat an earlier request for a pause, so the first one is
+     * believed.
+     *
+     * @return whether the pause was recorded
+     */
+    public boolean recordFirstPause(long millis, long now) {
+        return !availability
+                .getAndUpdate(
+                        current ->
+                                current.hasAskedForPause()
+                                        ? current
+                                        : current.afterPause(millis, now))
+                .hasAskedForPause();
+    }
+
     public void recordLoad(ReplicaLoad load, long now) {
         lastReport.set(new LoadReport(load, now, inFlight.get()));
     }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAnswerRecorder.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAnswerRecorder.java
@@ -15,12 +15,40 @@
  */
 record ReplicaAnswerRecorder(ReplicaStatuses statuses, MillisClock clock, EventLog events) {
 
-    /** Records an answer that is known to be the replica's. */
+    /** Records an answer that is known to be the one to the latest request on its connection. */
     void record(Replica replica, ReplicaResponseHead head) {
         ReplicaStatus status = statuses.statusOf(replica);
         long now = clock.now();
         head.load().ifPresent(load -> status.recordLoad(load, now));
-        if (head.leaving() && status.recordLeaving(now)) {
+        recordLeaving(replica, head, now);
+        head.pauseMillis()
+                .ifPresent(
+                        millis -> {
+                            if (status.recordPause(millis, now)) {
+                                logPause(replica, millis);
+                            }
+                        });
+    }
+
+    /**
+     * Records an answer that may be a late copy of an earlier one. A shutdown is final, but the
+     * load and a pause may be out of date.
+     */
+    void recordPossibleCopy(Replica replica, ReplicaResponseHead head) {
+        ReplicaStatus status = statuses.statusOf(replica);
+        long now = clock.now();
+        recordLeaving(replica, head, now);
+        head.pauseMillis()
+                .ifPresent(
+                        millis -> {
+                            if (status.recordFirstPause(millis, now)) {
+                                logPause(replica, millis);
+                            }
+                        });
+    }
+
+    private void recordLeaving(Replica replica, ReplicaResponseHead head, long now) {
+        if (head.leaving() && statuses.statusOf(replica).recordLeaving(now)) {
             events.record(
                     LogEvent.ENDPOINT_ANNOUNCED_LEAVING,
                     HashMap.of(
@@ -28,17 +56,14 @@
                             "service", replica.service(),
                             "status", head.status()));
         }
-        head.pauseMillis()
-                .ifPresent(
-                        millis -> {
-                            if (status.recordPause(millis, now)) {
-                                events.record(
-                                        LogEvent.ENDPOINT_PAUSED,
-                                        HashMap.of(
-                                                "endpoint", replica.id().toString(),
-                                                "service", replica.service(),
-                                                "pauseMs", millis));
-                            }
-                        });
+    }
+
+    private void logPause(Replica replica, long millis) {
+        events.record(
+                LogEvent.ENDPOINT_PAUSED,
+                HashMap.of(
+                        "endpoint", replica.id().toString(),
+                        "service", replica.service(),
+                        "pauseMs", millis));
     }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
@@ -185,8 +185,7 @@
                     .context()
                     .strayAnswers()
                     .recordDiscarded(requestId(), replica, connection, parsedHead);
-            // It may be a late copy, but what it says of the replica holds for all requests.
-            forwardedRequest.context().answerRecorder().record(replica, parsedHead);
+            forwardedRequest.context().answerRecorder().recordPossibleCopy(replica, parsedHead);
             connection.abort();
             failed("response without an identifier on a connection in use again");
             return true;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClient.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClient.java
@@ -107,16 +107,21 @@
     private Outcome readResponse(BatchSelection.Batch batch, HttpCallClient.Response response) {
         ReplicaResponseHead responseHead =
                 dialect.responseReader().read(response.status(), response.field());
-        answerRecorder.record(batch.replica(), responseHead);
-        if (responseHead.notExecuted()) {
-            return new Busy();
+        if (!responseHead.isSuccess() || responseHead.notExecuted()) {
+            answerRecorder.record(batch.replica(), responseHead);
+            return responseHead.notExecuted()
+                    ? new Busy()
+                    : new Failed("status " + responseHead.status());
         }
-        if (!responseHead.isSuccess()) {
-            return new Failed("status " + responseHead.status());
+        Either<String, List<PieceResult>> results =
+                codec.decodeResults(response.body(), batch.pieces().size())
+                        .flatMap(decoded -> requireNewHandles(batch.replica(), decoded));
+        if (results.isRight()) {
+            answerRecorder.record(batch.replica(), responseHead);
+        } else {
+            answerRecorder.recordPossibleCopy(batch.replica(), responseHead);
         }
-        return codec.decodeResults(response.body(), batch.pieces().size())
-                .flatMap(results -> requireNewHandles(batch.replica(), results))
-                .fold(Failed::new, Responded::new);
+        return results.fold(Failed::new, Responded::new);
     }
 
     /** Rejects a response with results that are not the replica's or that an earlier call made. */
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClientTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClientTest.java
@@ -61,6 +61,7 @@
     private static final String REPLICA_PREFIX = "servers/";
     private static final String LOAD = "Load";
     private static final long NOW = 0;
+    private static final double DELTA = 1e-9;
 
     private final MultiThreadIoEventLoopGroup loops =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
@@ -127,6 +128,27 @@
         }
     }
 
+    /** The third response is a copy of the first one, with the load of that time. */
+    @Test
+    void loadInACopyOfAResponseIsNotRecorded() throws Exception {
+        try (ScriptedServer server =
+                new ScriptedServer(
+                        connection -> {
+                            for (int call = 1; !connection.readRequest().isEmpty(); call++) {
+                                int answered = call == 3 ? 1 : call;
+                                connection.respond(
+                                        "200 OK\r\n" + LOAD + ": " + 10 * answered,
+                                        results(connection, answered, 1));
+                            }
+                        })) {
+            Replica replica = replicaAt(server);
+            handles(execute(replica, 1));
+            handles(execute(replica, 1));
+            assertInstanceOf(ReplicaPieceClient.Failed.class, execute(replica, 1));
+            assertEquals(20, statuses.statusOf(replica).expectedLoad(NOW), DELTA);
+        }
+    }
+
     private static void answerReleasesWithCopies(ScriptedServer.Connection connection)
             throws IOException {
         String previous = "";
