Keep a query through a reader when another message has its number

Seen: in a test, a query to the reader of the store never ends: neither with a result nor by its timeout.

Cause: a message from the reader that is no reply took the query of its number from the pending ones without completing it, and the timeout looks only at pending queries. The reading of the store would have stopped.

Change: only replies take a query.

Evidence: RelayLinkTest.queryIsNotLostWhenAMessageThatIsNoReplyHasItsNumber fails without the change, after 20 s. A second, late reply does no harm on links between instances, before and after the change: numbers are used once on a link, also beyond a reconnection (RelayLinkTest, RepeatedPieceReplyTest).

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/relay/RelayLink.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/relay/RelayLink.java
@@ -89,8 +89,11 @@
     }
 
     private void received(RelayMessage message) {
-        PendingQuery query = pendingQueries.remove(message.number());
-        if (query != null && message instanceof RelayMessage.Reply reply) {
+        if (!(message instanceof RelayMessage.Reply reply)) {
+            return;
+        }
+        PendingQuery query = pendingQueries.remove(reply.number());
+        if (query != null) {
             query.result().complete(reply.result());
         }
     }
