Distinguish addresses in Via fields from status lines

What callers saw: a failure where the replica answered with a success, if a field has "HTTP/1.1" and a numeric address, as a Via field with the protocol name may have.

Cause: the search for a status line took the first three digits of the address for a status. It also missed status lines with other white space than one space, which the decoder accepts, so that such a response behind a cut copy was still joined with it.

Change: white space or the end of the text must follow the status, and any white space may precede it.

Evidence: EmbeddedStatusLineTest; 4 of its 8 cases failed before.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/EmbeddedHeadSearch.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/EmbeddedHeadSearch.java
@@ -24,7 +24,7 @@
     private static final int MAX_HEAD_CHARACTERS = 4_096;
 
     private static final int STATUS_LINE_CHARACTERS = "HTTP/1.1 200".length();
-    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01] \\d{3}");
+    private static final Pattern STATUS_LINE = Pattern.compile("HTTP/1\\.[01]\\s+\\d{3}(?!\\S)");
     private static final Pattern FIELD = Pattern.compile("\r\n[^:\\s]++:([^\r\n]*+)\r\n");
     private static final String END_OF_HEAD = "\r\n\r\n";
 
