Fail a request whose response completes a discarded copy

What callers saw: no answer until the deadline, where the replica had answered.

Cause: a late copy that is cut off in its body or trailer takes the response to the request in progress as its rest. Bodies of discarded responses, and trailers, were not searched for another head.

Change: the search covers discarded bodies and trailers. The request fails as soon as the head of its response is found there.

Evidence: DiscardedCopyTest cuts copies with a length and in chunks at each byte.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
@@ -244,7 +244,7 @@
     }
 
     private void headReceived(HttpResponse response) {
-        if (StrictResponseDecoder.containsOtherHead(response)) {
+        if (StrictResponseDecoder.containsOtherHead(response.headers())) {
             failAndClose("response head that contains another one");
             return;
         }
@@ -278,13 +278,17 @@
                 apply(
                         state.bodyReceived(content.content().readableBytes()),
                         TOO_MANY_DISCARDED_BYTES);
-        if (decision == Decision.USE && content.content().isReadable()) {
+        if (decision != Decision.FAIL && content.content().isReadable()) {
             search(content.content());
-            if (listener != null) {
+            if (decision == Decision.USE && listener != null) {
                 listener.content(content.content());
             }
         }
-        if (content instanceof LastHttpContent && listener != null) {
+        if (content instanceof LastHttpContent last && listener != null) {
+            if (StrictResponseDecoder.containsOtherHead(last.trailingHeaders())) {
+                failAndClose("trailer that contains a response head");
+                return;
+            }
             responseEnded();
         }
     }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -75,10 +76,9 @@
         return super.createMessage(initialLine);
     }
 
-    /** Returns whether a field of a head contains the beginning of another head. */
-    static boolean containsOtherHead(HttpMessage head) {
-        Iterator<Map.Entry<CharSequence, CharSequence>> fields =
-                head.headers().iteratorCharSequence();
+    /** Returns whether a field contains the beginning of another head. */
+    static boolean containsOtherHead(HttpHeaders headers) {
+        Iterator<Map.Entry<CharSequence, CharSequence>> fields = headers.iteratorCharSequence();
         while (fields.hasNext()) {
             if (EmbeddedHeadSearch.containsStatusLine(fields.next().getValue().toString())) {
                 return true;
