Reject joined responses on the connections to endpoints

A call that failed passed for a success, and a call that was executed passed for one that was not run, which is then sent again and executed twice.

Cause: EndpointConnection read with the standard decoder, so the beginning of a copy of an earlier response, cut off, became the beginning of the next one. A part of a head on an idle connection was not noticed either.

Change: connections to endpoints use StrictResponseDecoder, reject heads that contain another one, and are closed if a read ends with a part of a response while no call is pending. The limits are those of the standard decoder.

A complete copy after the next call was sent is not covered, because responses need not name their call.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/EndpointConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/EndpointConnection.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.TimeUnit;
 import org.sequoiaspindle.core.protocol.endpoint.CallResult;
 import org.sequoiaspindle.daemon.state.EndpointTimeouts;
+import org.sequoiaspindle.daemon.transport.http.StrictResponseDecoder;
 
 /**
  * Netty handler that runs calls on one connection, one at a time. All state is confined to the
@@ -36,6 +37,7 @@
     private final EndpointTimeouts timeouts;
     private final IdleConnectionPool idleConnections;
     private final String address;
+    private final StrictResponseDecoder decoder;
     private Channel channel;
     private InFlightCall pendingCall;
     private boolean responseStarted;
@@ -45,10 +47,14 @@
     private Future<?> timeout;
 
     EndpointConnection(
-            EndpointTimeouts timeouts, IdleConnectionPool idleConnections, String address) {
+            EndpointTimeouts timeouts,
+            IdleConnectionPool idleConnections,
+            String address,
+            StrictResponseDecoder decoder) {
         this.timeouts = timeouts;
         this.idleConnections = idleConnections;
         this.address = address;
+        this.decoder = decoder;
     }
 
     @Override
@@ -114,6 +120,10 @@
             return;
         }
         if (message instanceof HttpResponse response) {
+            if (StrictResponseDecoder.containsOtherHead(response.headers())) {
+                abort(pendingCall, "response head that contains another one");
+                return;
+            }
             readHead(response);
         }
         if (message instanceof HttpContent content
@@ -123,6 +133,15 @@
         }
     }
 
+    /** A part of a head leaves no message, and would become the beginning of the next response. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (pendingCall == null && decoder.isWithinResponse()) {
+            channel.close();
+        }
+        context.fireChannelReadComplete();
+    }
+
     private void readHead(HttpResponse response) {
         informationalResponse = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
         if (informationalResponse) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/HttpEndpointCaller.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/endpoint/HttpEndpointCaller.java
@@ -11,10 +11,10 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpVersion;
 import io.vavr.control.Option;
 import io.vavr.control.Try;
@@ -27,6 +27,7 @@
 import org.sequoiaspindle.daemon.protocol.SocketAddressParser;
 import org.sequoiaspindle.daemon.protocol.endpoint.EndpointMessages;
 import org.sequoiaspindle.daemon.state.EndpointTimeouts;
+import org.sequoiaspindle.daemon.transport.http.StrictResponseDecoder;
 
 /**
  * Calls endpoints over HTTP/1.1 with keep-alive connections. Uses Netty's HTTP codec rather than
@@ -36,6 +37,9 @@
 public final class HttpEndpointCaller implements EndpointCaller, AutoCloseable {
 
     private static final int CONNECT_TIMEOUT_MS = 1000;
+    private static final int MAX_INITIAL_LINE_BYTES = 4_096;
+    private static final int MAX_HEADER_BYTES = 8_192;
+    private static final int MAX_CHUNK_BYTES = 8_192;
     private static final String PATH = "/v1/execute";
     private static final String EVENT_STREAM = "text/event-stream";
 
@@ -162,9 +166,13 @@
 
         @Override
         protected void initChannel(SocketChannel channel) {
+            StrictResponseDecoder decoder =
+                    new StrictResponseDecoder(
+                            MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
             channel.pipeline()
-                    .addLast(new HttpClientCodec())
-                    .addLast(new EndpointConnection(timeouts, idleConnections, address));
+                    .addLast(new HttpRequestEncoder())
+                    .addLast(decoder)
+                    .addLast(new EndpointConnection(timeouts, idleConnections, address, decoder));
         }
     }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
@@ -19,7 +19,7 @@
  * line, or with the status line of another response in them. Such a head begins with a cut copy of
  * an earlier response, whose status would be taken for that of the response that follows.
  */
-final class StrictResponseDecoder extends HttpResponseDecoder {
+public final class StrictResponseDecoder extends HttpResponseDecoder {
 
     private static final Pattern VERSION = Pattern.compile("HTTP/1\\.[01]");
     private static final Pattern STATUS = Pattern.compile("[1-9]\\d{2}");
@@ -27,7 +27,8 @@
     private boolean decodedPart;
     private boolean expectsNoBody;
 
-    StrictResponseDecoder(int maxInitialLineLength, int maxHeaderSize, int maxChunkSize) {
+    /** Creates a decoder with limits in bytes. */
+    public StrictResponseDecoder(int maxInitialLineLength, int maxHeaderSize, int maxChunkSize) {
         super(maxInitialLineLength, maxHeaderSize, maxChunkSize);
     }
 
@@ -52,7 +53,7 @@
     }
 
     /** Returns whether bytes were received after the last complete response. */
-    boolean isWithinResponse() {
+    public boolean isWithinResponse() {
         return decodedPart || actualReadableBytes() > 0;
     }
 
@@ -77,7 +78,7 @@
     }
 
     /** Returns whether a field contains the beginning of another head. */
-    static boolean containsOtherHead(HttpHeaders headers) {
+    public static boolean containsOtherHead(HttpHeaders headers) {
         Iterator<Map.Entry<CharSequence, CharSequence>> fields = headers.iteratorCharSequence();
         while (fields.hasNext()) {
             if (EmbeddedHeadSearch.containsStatusLine(fields.next().getValue().toString())) {
