--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
@@ -236,7 +236,8 @@
     }
 
     private void headReceived(HttpResponse response) {
-        if (ResponseHeads.containOther(response)) {
+        bodySearch.restart();
+        if (ResponseHeads.containOther(response.headers())) {
             failAndClose("response head that contains another one");
             return;
         }
@@ -256,7 +257,6 @@
             return;
         }
         idleLimitMillis = KeepAlive.idleLimitMillis(response);
-        bodySearch.restart();
         Decision owner = listener.head(response) ? Decision.USE : Decision.DISCARD;
         if (listener != null) {
             apply(
@@ -270,14 +270,20 @@
                 apply(
                         state.bodyReceived(content.content().readableBytes()),
                         TOO_MANY_DISCARDED_BYTES);
+        // Also in a copy, whose missing body would otherwise hide the response to the request.
+        if (decision != Decision.FAIL
+                && bodySearch.findsOtherHead(content.content(), state::hasCarried)) {
+            failAndClose(COMPLETED_BY_ANOTHER_RESPONSE);
+            return;
+        }
         if (decision == Decision.USE && content.content().isReadable()) {
-            if (bodySearch.findsOtherHead(content.content(), state::hasCarried)) {
-                failAndClose(COMPLETED_BY_ANOTHER_RESPONSE);
-                return;
-            }
             listener.content(content.content());
         }
-        if (content instanceof LastHttpContent && listener != null) {
+        if (content instanceof LastHttpContent last && listener != null) {
+            if (ResponseHeads.containOther(last.trailingHeaders())) {
+                failAndClose("trailer that contains a response head");
+                return;
+            }
             responseEnded();
         }
     }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ResponseHeads.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ResponseHeads.java
@@ -1,5 +1,6 @@
 package org.sequoiaspindle.daemon.transport.http;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Map;
@@ -7,13 +8,13 @@
 import org.sequoiaspindle.core.coordination.forwarding.EmbeddedHeadSearch;
 
 /** Reads from the head of a response what decides about its connection. */
-final class ResponseHeads {
+public final class ResponseHeads {
 
     private ResponseHeads() {}
 
-    /** Returns whether the head begins with a part of another head, which a field then contains. */
-    static boolean containOther(HttpResponse response) {
-        for (Map.Entry<String, String> field : response.headers()) {
+    /** Returns whether a field contains the status line of another response. */
+    public static boolean containOther(HttpHeaders fields) {
+        for (Map.Entry<String, String> field : fields) {
             if (EmbeddedHeadSearch.containsStatusLine(field.getValue())) {
                 return true;
             }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
@@ -16,7 +16,7 @@
  * line, or with the status line of another response in them. Such a head begins with a cut copy of
  * an earlier response, whose status would be taken for that of the response that follows.
  */
-final class StrictResponseDecoder extends HttpResponseDecoder {
+public final class StrictResponseDecoder extends HttpResponseDecoder {
 
     private static final int MAX_INITIAL_LINE_BYTES = 4_096;
     private static final int MAX_HEADER_BYTES = 32_768;
@@ -35,7 +35,8 @@
         this(MAX_INITIAL_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES);
     }
 
-    StrictResponseDecoder(int maxInitialLineLength, int maxHeaderSize, int maxChunkSize) {
+    /** Creates a decoder with limits in bytes. */
+    public StrictResponseDecoder(int maxInitialLineLength, int maxHeaderSize, int maxChunkSize) {
         super(maxInitialLineLength, maxHeaderSize, maxChunkSize);
     }
 
@@ -60,7 +61,7 @@
     }
 
     /** Returns whether bytes were received after the last complete response. */
-    boolean isWithinResponse() {
+    public boolean isWithinResponse() {
         return decodedPart || actualReadableBytes() > 0;
     }
 
