Reject status lines behind the size of a chunk

What callers saw: no answer until the deadline behind a late copy that is cut off there; and a few bytes of another response's fields in the body of a response that is itself cut off there and followed by one more.

Cause: the standard decoder ignores what follows the size of a chunk in its line, as an extension or behind a carriage return. The status line of the next response passed for it, and the next bytes for the data of the chunk.

Change: StrictResponseDecoder rejects a status line among the bytes between chunks, before it passes on the chunk behind it.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
@@ -2,10 +2,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import java.util.Iterator;
 import java.util.List;
@@ -25,6 +27,7 @@
     private static final Pattern STATUS = Pattern.compile("[1-9]\\d{2}");
 
     private boolean decodedPart;
+    private boolean withinBody;
     private boolean expectsNoBody;
 
     /** Creates a decoder with limits in bytes. */
@@ -62,9 +65,32 @@
             throws Exception {
         int start = in.readerIndex();
         super.decode(ctx, in, out);
-        if (in.readerIndex() > start) {
-            decodedPart = out.isEmpty() || !(out.get(out.size() - 1) instanceof LastHttpContent);
+        if (in.readerIndex() == start) {
+            return;
         }
+        if (withinBody) {
+            checkChunkLines(in, start, out);
+        }
+        decodedPart = out.isEmpty() || !(out.get(out.size() - 1) instanceof LastHttpContent);
+        withinBody = out.isEmpty() ? withinBody : decodedPart;
+    }
+
+    /** The standard decoder ignores what follows the size of a chunk in its line. */
+    private static void checkChunkLines(ByteBuf in, int start, List<Object> out) {
+        int length = in.readerIndex() - start - contentLength(out);
+        if (EmbeddedHeadSearch.containsStatusLine(
+                in.toString(start, length, StandardCharsets.ISO_8859_1))) {
+            out.forEach(ReferenceCountUtil::release);
+            out.clear();
+            throw new IllegalArgumentException("status line between the chunks of a response");
+        }
+    }
+
+    private static int contentLength(List<Object> messages) {
+        return messages.stream()
+                .filter(HttpContent.class::isInstance)
+                .mapToInt(message -> ((HttpContent) message).content().readableBytes())
+                .sum();
     }
 
     @Override
