--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/endpoint/JoinedEndpointResponsesTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/endpoint/JoinedEndpointResponsesTest.java
@@ -123,7 +123,8 @@
                 .result();
     }
 
-    private static void awaitIdleCount(HttpEndpointCaller caller, ScriptedServer server, int count) {
+    private static void awaitIdleCount(
+            HttpEndpointCaller caller, ScriptedServer server, int count) {
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(3);
         while (caller.idleConnectionCount(server.address()) != count
                 && System.nanoTime() < deadline) {
