Count and report every line that the log loses

Cause: the log writes through System.out, which swallows errors, so lines that a closed pipe or a full disk refused were neither counted nor reported, although docs/OPERATIONS.md said so. Losses of the queue were reported only together with a later event: a process that ended first said nothing, and gave up queued lines silently. The report did not say since when.

Lines given up at the end are counted on standard error.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/LogEventWriter.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/LogEventWriter.java
@@ -11,12 +11,13 @@
 import org.apache.logging.log4j.message.Message;
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.LogEvent;
+import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.daemon.protocol.LogEventFields;
 
 /**
  * Writes log events as JSON lines to standard output. The appender of {@code log4j2.xml} is
- * asynchronous and drops lines when its queue is full, so callers never block. The number of
- * dropped lines is reported once the output is read again.
+ * asynchronous and drops lines when its queue is full, so callers never block. The number of lost
+ * lines is reported once the output works again, and at the end of the log.
  */
 public final class LogEventWriter implements EventLog, AutoCloseable {
 
@@ -26,7 +27,7 @@
     /** Time for which the end of the log waits for the output to be read, in milliseconds. */
     private static final long CLOSE_TIMEOUT_MS = 300;
 
-    private static final DroppedEvents DROPPED_EVENTS = new DroppedEvents();
+    private static final DroppedEvents DROPPED_EVENTS = new DroppedEvents(MillisClock.monotonic());
 
     private final Logger logger = LogManager.getLogger(LOGGER);
 
@@ -37,20 +38,26 @@
         return new LogEventWriter();
     }
 
-    /** Returns the number of lines that were dropped because the output was not read. */
+    /** Returns the number of lines that were lost because the output did not take them. */
     public static long droppedLines() {
         return DROPPED_EVENTS.total();
     }
 
     @Override
     public void record(LogEvent event, Map<String, Object> fields) {
-        long dropped = DROPPED_EVENTS.takeUnreported();
-        if (dropped > 0) {
-            write(LogEvent.OUTPUT_DROPPED, HashMap.of("lines", dropped));
-        }
+        DROPPED_EVENTS.takeUnreported().forEach(this::report);
         write(event, fields);
     }
 
+    private void report(DroppedEvents.Loss loss) {
+        write(
+                LogEvent.OUTPUT_DROPPED,
+                HashMap.of(
+                        "lines", loss.lines(),
+                        "total", DROPPED_EVENTS.total(),
+                        "forMs", DROPPED_EVENTS.millisSinceFirst(loss)));
+    }
+
     private void write(LogEvent event, Map<String, Object> fields) {
         Level level = level(event.level());
         if (logger.isEnabled(level)) {
@@ -60,10 +67,11 @@
 
     /**
      * Writes all queued lines and stops logging for the whole process. The writer must be closed
-     * last. Lines that nobody reads are given up.
+     * last. Lines that nobody reads are given up, and their number is written to standard error.
      */
     @Override
     public void close() {
+        DROPPED_EVENTS.takeAllUnreported().forEach(this::report);
         Thread shutdown = new Thread(LogManager::shutdown, "log-shutdown");
         shutdown.setDaemon(true);
         shutdown.start();
@@ -72,6 +80,10 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        int unwritten = DROPPED_EVENTS.queuedEvents();
+        if (unwritten > 0) {
+            System.err.println("the output was not read; lines of the log given up: " + unwritten);
+        }
     }
 
     /** Creates the Log4j message of an event. */
