Log the number of requests on the connection of a failed attempt

Cause: event 305 named the connection but not which request on it failed, so its line could not be ordered among the lines 307 of the connection.

Evidence: RequestTraceTest passes; it covers the attempt that sent nothing. The number of a used connection has no test of its own.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestTrace.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestTrace.java
@@ -78,6 +78,8 @@
                                 replica.id().toString(),
                                 "connection",
                                 connection,
+                                "carriedRequests",
+                                carriedRequests,
                                 "result",
                                 result.name(),
                                 "reason",
