Explain where the answer to a request came from

Cause: after "a success where the replica answered with a failure", an engineer with the logs had to join lines 304, 305 and 307 by hand, and explain ignored 307 lines that name the request in answeredId.

--- a/cli/src/main/java/org/sequoiaspindle/cli/state/Report.java
+++ b/cli/src/main/java/org/sequoiaspindle/cli/state/Report.java
@@ -46,4 +46,11 @@
 
     /** Explanation of the result of a request, derived from the logs. */
     record Explanation(RequestExplanation explanation) implements Report {}
+
+    /**
+     * Numbers of answers besides the answer to the request in progress.
+     *
+     * @param skippedLines number of lines that could not be parsed
+     */
+    record StrayAnswers(StrayAnswerCounts counts, long skippedLines) implements Report {}
 }
--- a/cli/src/main/java/org/sequoiaspindle/cli/state/RequestExplanation.java
+++ b/cli/src/main/java/org/sequoiaspindle/cli/state/RequestExplanation.java
@@ -9,7 +9,12 @@
  * @param lines log lines of the request and of instance events around the time of the request,
  *     sorted by time
  * @param cause cause of the result; absent if the logs have no line for the end of the request
+ * @param answer attempts and the answers that endpoints sent besides the expected ones
  * @param skippedLines number of lines that could not be parsed
  */
 public record RequestExplanation(
-        String requestId, Vector<LogLine> lines, Option<String> cause, long skippedLines) {}
+        String requestId,
+        Vector<LogLine> lines,
+        Option<String> cause,
+        AnswerExplanation answer,
+        long skippedLines) {}
--- a/cli/src/main/java/org/sequoiaspindle/cli/transport/CommandTable.java
+++ b/cli/src/main/java/org/sequoiaspindle/cli/transport/CommandTable.java
@@ -11,6 +11,7 @@
 import org.sequoiaspindle.cli.protocol.InstanceSession;
 import org.sequoiaspindle.cli.protocol.ObjectSetCommands;
 import org.sequoiaspindle.cli.protocol.PublishCommand;
+import org.sequoiaspindle.cli.protocol.StrayAnswersCommand;
 import org.sequoiaspindle.cli.transport.CommandDefinition.Binder;
 import org.sequoiaspindle.core.coordination.configuration.ObjectKind;
 import org.sequoiaspindle.core.coordination.configuration.ObjectNames;
@@ -69,11 +70,11 @@
                             RequestOptions::declare),
                     new CommandDefinition(
                             "explain",
-                            "REQUEST-ID FILE...",
+                            "REQUEST-ID FILE... | --stray FILE...",
                             "Explains the result of a request from the logs of instances.",
-                            2,
-                            MAX_LOG_FILES,
-                            parser -> CommandTable::bindExplain),
+                            1,
+                            1 + MAX_LOG_FILES,
+                            CommandTable::declareExplain),
                     new CommandDefinition(
                             "hash-secret",
                             "",
@@ -181,10 +182,21 @@
         return Either.right(() -> ObjectSetCommands.diff(session, file));
     }
 
-    private static Either<String, BoundCommand> bindExplain(
-            OptionSet options, CliEnvironment environment) {
-        Vector<String> arguments = Vector.ofAll(options.nonOptionArguments()).map(Object::toString);
-        return Either.right(() -> ExplainCommand.run(arguments.head(), arguments.tail()));
+    private static Binder declareExplain(OptionParser parser) {
+        var stray =
+                parser.accepts(
+                        "stray",
+                        "count the answers besides the expected ones (event 307) by endpoint");
+        return (options, environment) -> {
+            Vector<String> arguments =
+                    Vector.ofAll(options.nonOptionArguments()).map(Object::toString);
+            if (options.has(stray)) {
+                return Either.right(() -> StrayAnswersCommand.run(arguments));
+            }
+            return arguments.size() > 1
+                    ? Either.right(() -> ExplainCommand.run(arguments.head(), arguments.tail()))
+                    : Either.left("explain needs the id of a request and a file, or --stray");
+        };
     }
 
     private static Either<String, BoundCommand> bindHashSecret(
--- a/cli/src/main/java/org/sequoiaspindle/cli/transport/JsonReportFormatter.java
+++ b/cli/src/main/java/org/sequoiaspindle/cli/transport/JsonReportFormatter.java
@@ -10,10 +10,8 @@
 import io.vavr.control.Option;
 import java.util.Locale;
 import org.sequoiaspindle.cli.state.CommandResult;
-import org.sequoiaspindle.cli.state.LogLine;
 import org.sequoiaspindle.cli.state.PublishReport;
 import org.sequoiaspindle.cli.state.Report;
-import org.sequoiaspindle.cli.state.RequestExplanation;
 import org.sequoiaspindle.cli.state.RequestReport;
 import org.sequoiaspindle.cli.state.StatusReport;
 import org.sequoiaspindle.cli.state.StreamedToken;
@@ -53,29 +51,15 @@
             request.report().forEach(requestReport -> putRequest(json, requestReport));
             request.violations().forEach(json.putArray("faults")::add);
         } else if (report instanceof Report.Explanation explanation) {
-            putExplanation(json, explanation.explanation());
+            ExplanationJsonFormatter.putExplanation(json, explanation.explanation());
+        } else if (report instanceof Report.StrayAnswers strayAnswers) {
+            ExplanationJsonFormatter.putStrayAnswers(json, strayAnswers);
         } else {
             json.put("secretHash", ((Report.HashedSecret) report).secretHash());
         }
         return json.toString();
     }
 
-    private static void putExplanation(ObjectNode json, RequestExplanation explanation) {
-        json.put("requestId", explanation.requestId());
-        explanation.cause().forEach(cause -> json.put("cause", cause));
-        json.put("skippedLines", explanation.skippedLines());
-        ArrayNode lines = json.putArray("lines");
-        for (LogLine line : explanation.lines()) {
-            ObjectNode fields =
-                    lines.addObject()
-                            .put("time", line.time().toString())
-                            .put("source", line.source())
-                            .put("name", line.eventName())
-                            .putObject("fields");
-            line.fields().forEach((name, value) -> fields.put(name, value));
-        }
-    }
-
     private static ObjectNode newObject() {
         return JsonNodeFactory.instance.objectNode();
     }
--- a/cli/src/main/java/org/sequoiaspindle/cli/transport/TextReportFormatter.java
+++ b/cli/src/main/java/org/sequoiaspindle/cli/transport/TextReportFormatter.java
@@ -1,13 +1,10 @@
 package org.sequoiaspindle.cli.transport;
 
-import io.vavr.Tuple2;
 import io.vavr.collection.Vector;
 import io.vavr.control.Option;
 import java.util.function.Function;
-import org.sequoiaspindle.cli.state.LogLine;
 import org.sequoiaspindle.cli.state.PublishReport;
 import org.sequoiaspindle.cli.state.Report;
-import org.sequoiaspindle.cli.state.RequestExplanation;
 import org.sequoiaspindle.cli.state.RequestReport;
 import org.sequoiaspindle.core.coordination.configuration.ConfigurationDiff;
 import org.sequoiaspindle.core.coordination.configuration.ConfigurationDiff.ObjectReference;
@@ -46,33 +43,14 @@
             return formatRequest(request);
         }
         if (report instanceof Report.Explanation explanation) {
-            return formatExplanation(explanation.explanation());
+            return ExplanationTextFormatter.format(explanation.explanation());
+        }
+        if (report instanceof Report.StrayAnswers strayAnswers) {
+            return ExplanationTextFormatter.format(strayAnswers);
         }
         return ((Report.HashedSecret) report).secretHash() + "\n";
     }
 
-    private static String formatExplanation(RequestExplanation explanation) {
-        String lines =
-                explanation
-                        .lines()
-                        .map(line -> ObjectNames.printable(formatLogLine(line)) + "\n")
-                        .mkString();
-        String cause =
-                explanation.cause().getOrElse("the logs do not contain the end of this request");
-        return "%scause: %s%n%d line(s) were not log lines%n"
-                .formatted(lines, ObjectNames.printable(cause), explanation.skippedLines());
-    }
-
-    private static String formatLogLine(LogLine line) {
-        String fields =
-                line.fields()
-                        .toVector()
-                        .sortBy(Tuple2::_1)
-                        .map(field -> field._1() + "=" + field._2())
-                        .mkString(" ");
-        return line.time() + " " + line.source() + " " + line.eventName() + " " + fields;
-    }
-
     private static String formatFileCheck(Report.FileCheck check) {
         return check.problems().isEmpty()
                 ? check.file() + ": no problems\n"
