--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestTrace.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestTrace.java
@@ -84,6 +84,8 @@
                                 replica.id().toString(),
                                 "connection",
                                 connection,
+                                "carriedRequests",
+                                carriedRequests,
                                 "result",
                                 result.name(),
                                 "reason",
