--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/Admission.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/admission/Admission.java
@@ -1,6 +1,7 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.admission;
 
 import java.util.Optional;
+import org.sequoiaspindle.core.coordination.forwarding.replica.StableHash;
 import org.sequoiaspindle.core.state.forwarding.ApiKeyOwner;
 import org.sequoiaspindle.core.state.forwarding.ForwardingTable;
 import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/AttemptResult.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/admission/AttemptResult.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.admission;
 
 /** Result of sending a request to one replica. */
 public enum AttemptResult {
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/DrainAdmission.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/admission/DrainAdmission.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.admission;
 
 /**
  * Decides during a drain whether a request may still be executed by this instance. A request that
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/DurationEstimate.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/admission/DurationEstimate.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.admission;
 
 /**
  * Exponentially weighted moving average of a duration and of its deviation, in milliseconds.
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/FirstByteTimeEstimates.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/admission/FirstByteTimeEstimates.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.admission;
 
 /**
  * Estimates of the time from the completion of a request's stages to the first bytes of its
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/KeyConfirmation.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/admission/KeyConfirmation.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.admission;
 
 /**
  * Time at which the store last confirmed the configuration, which contains the API keys.
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/RejectionReason.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/admission/RejectionReason.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.admission;
 
 /** Reason for an error response that the system itself sends to a client. */
 public enum RejectionReason {
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/StageAdmission.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/admission/StageAdmission.java
@@ -1,7 +1,8 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.admission;
 
 import java.util.Optional;
 import java.util.function.ToIntFunction;
+import org.sequoiaspindle.core.coordination.forwarding.piece.StagePlan;
 import org.sequoiaspindle.core.state.forwarding.BatchSpec;
 import org.sequoiaspindle.core.state.forwarding.ForwardingTable;
 import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ConnectionState.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/connection/ConnectionState.java
@@ -1,7 +1,8 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.connection;
 
 import io.vavr.collection.HashSet;
 import java.util.Optional;
+import org.sequoiaspindle.core.coordination.forwarding.replica.StableHash;
 
 /**
  * Decides to which request a response on a connection belongs, and whether the connection may carry
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/EmbeddedHeadSearch.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/connection/EmbeddedHeadSearch.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.connection;
 
 import java.util.function.Predicate;
 import java.util.regex.Matcher;
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/BatchingInstanceSelector.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/piece/BatchingInstanceSelector.java
@@ -1,9 +1,10 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.piece;
 
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
+import org.sequoiaspindle.core.coordination.forwarding.replica.StableHash;
 import org.sequoiaspindle.core.state.forwarding.InstanceEntry;
 
 /**
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/RecentHandles.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/piece/RecentHandles.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.piece;
 
 import java.util.HashMap;
 import java.util.Iterator;
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/CrashEvidence.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/CrashEvidence.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.replica;
 
 import io.vavr.collection.HashMap;
 import io.vavr.collection.HashSet;
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/PromptAffinityPlacement.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/PromptAffinityPlacement.java
@@ -1,11 +1,11 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.replica;
 
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaSelector.Candidate;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaSelector.Candidate;
 import org.sequoiaspindle.core.state.forwarding.PromptPart;
 import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.core.state.forwarding.ReplicaId;
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaAvailability.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaAvailability.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.replica;
 
 /**
  * What a replica has said about itself in its answers to this instance. Unlike the result of the
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaHealth.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaHealth.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.replica;
 
 /**
  * Passive health check of a replica, based on the results of requests to the replica.
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaSelector.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaSelector.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.replica;
 
 import java.util.Comparator;
 import java.util.List;
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaStatus.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatus.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.replica;
 
 import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicInteger;
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/ReplicaStatuses.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatuses.java
@@ -1,10 +1,10 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.replica;
 
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaSelector.Candidate;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaSelector.Candidate;
 import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.core.state.forwarding.ReplicaId;
 import org.sequoiaspindle.core.state.forwarding.ReplicaTable;
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/StableHash.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/StableHash.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.replica;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 
@@ -12,7 +12,7 @@
         return Hashing.komihash5_0().hashCharsToLong(value);
     }
 
-    static long of(String first, String second) {
+    public static long of(String first, String second) {
         return Hashing.komihash5_0().hashStream().putString(first).putString(second).getAsLong();
     }
 }
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/CrashEvidenceKeys.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/CrashEvidenceKeys.java
@@ -4,7 +4,7 @@
 import io.vavr.control.Try;
 import java.util.Optional;
 import java.util.regex.Pattern;
-import org.sequoiaspindle.core.coordination.forwarding.CrashEvidence.Crash;
+import org.sequoiaspindle.core.coordination.forwarding.replica.CrashEvidence.Crash;
 import org.sequoiaspindle.core.protocol.store.StoreChange;
 import org.sequoiaspindle.core.protocol.store.StoreValue;
 
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/PieceExecutor.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/PieceExecutor.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.concurrent.CompletionStage;
 import java.util.function.BooleanSupplier;
-import org.sequoiaspindle.core.coordination.forwarding.Piece;
+import org.sequoiaspindle.core.coordination.forwarding.piece.Piece;
 
 /** Executes pieces of stages at replicas. Thread-safe. */
 @FunctionalInterface
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/PieceMessage.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/PieceMessage.java
@@ -1,7 +1,7 @@
 package org.sequoiaspindle.core.protocol.forwarding;
 
 import java.util.List;
-import org.sequoiaspindle.core.coordination.forwarding.Piece;
+import org.sequoiaspindle.core.coordination.forwarding.piece.Piece;
 
 /** Message between an instance that needs pieces and the instance that batches them. */
 public sealed interface PieceMessage {
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/PieceMessageCodec.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/PieceMessageCodec.java
@@ -4,7 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.sequoiaspindle.core.coordination.forwarding.Piece;
+import org.sequoiaspindle.core.coordination.forwarding.piece.Piece;
 import org.sequoiaspindle.core.protocol.peer.MessagePackTree;
 import org.sequoiaspindle.core.protocol.peer.TreeFields;
 
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RejectionResponse.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RejectionResponse.java
@@ -1,8 +1,8 @@
 package org.sequoiaspindle.core.protocol.forwarding;
 
 import java.util.OptionalLong;
-import org.sequoiaspindle.core.coordination.forwarding.CrashEvidence;
-import org.sequoiaspindle.core.coordination.forwarding.RejectionReason;
+import org.sequoiaspindle.core.coordination.forwarding.admission.RejectionReason;
+import org.sequoiaspindle.core.coordination.forwarding.replica.CrashEvidence;
 
 /**
  * Error response that the system itself sends to a client.
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/ReplicaResponseHead.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/ReplicaResponseHead.java
@@ -3,7 +3,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import org.sequoiaspindle.core.coordination.forwarding.AttemptResult;
+import org.sequoiaspindle.core.coordination.forwarding.admission.AttemptResult;
 import org.sequoiaspindle.core.state.forwarding.ReplicaLoad;
 
 /**
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/StageCodec.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/StageCodec.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.sequoiaspindle.core.coordination.forwarding.Piece;
+import org.sequoiaspindle.core.coordination.forwarding.piece.Piece;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
 import org.sequoiaspindle.core.state.forwarding.Replica;
 
--- a/core/src/test/java/org/sequoiaspindle/core/LayersTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/LayersTest.java
@@ -7,6 +7,7 @@
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import com.tngtech.archunit.library.dependencies.SlicesRuleDefinition;
 
 /**
  * Checks that no layer depends on a higher layer and that the coordination layer does no I/O and
@@ -62,4 +63,14 @@
                 .allowEmptyShould(true)
                 .check(classes);
     }
+
+    /** The decisions on the forwarding path depend on each other in one direction. */
+    @ArchTest
+    void packagesOfTheForwardingDecisionsHaveNoCycle(JavaClasses classes) {
+        SlicesRuleDefinition.slices()
+                .matching("..core.coordination.forwarding.(*)..")
+                .should()
+                .beFreeOfCycles()
+                .check(classes);
+    }
 }
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/RetryPolicyTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/admission/RetryPolicyTest.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.admission;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -8,7 +8,8 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
-import org.sequoiaspindle.core.coordination.forwarding.RetryPolicy.Action;
+import org.sequoiaspindle.core.coordination.forwarding.admission.RetryPolicy.Action;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ForwardingSamples;
 import org.sequoiaspindle.core.state.forwarding.RequestKind;
 import org.sequoiaspindle.core.state.forwarding.Route;
 
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/StageAdmissionTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/admission/StageAdmissionTest.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.admission;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -10,6 +10,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ForwardingSamples;
 import org.sequoiaspindle.core.state.forwarding.BatchSpec;
 import org.sequoiaspindle.core.state.forwarding.ForwardingTable;
 import org.sequoiaspindle.core.state.forwarding.IngressLimits;
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/ConnectionStateTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/connection/ConnectionStateTest.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.connection;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -11,9 +11,9 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
-import org.sequoiaspindle.core.coordination.forwarding.ConnectionState.BodyEnd;
-import org.sequoiaspindle.core.coordination.forwarding.ConnectionState.Decision;
-import org.sequoiaspindle.core.coordination.forwarding.ConnectionState.Transition;
+import org.sequoiaspindle.core.coordination.forwarding.connection.ConnectionState.BodyEnd;
+import org.sequoiaspindle.core.coordination.forwarding.connection.ConnectionState.Decision;
+import org.sequoiaspindle.core.coordination.forwarding.connection.ConnectionState.Transition;
 
 /** Guards against responses given to the wrong request and connections used once too often. */
 final class ConnectionStateTest {
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/BatchSelectionTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/piece/BatchSelectionTest.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.piece;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -9,7 +9,8 @@
 import java.util.Optional;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaSelector.Candidate;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ForwardingSamples;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaSelector.Candidate;
 import org.sequoiaspindle.core.state.forwarding.BatchSpec;
 
 /**
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/MemoryBoundLoadTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/piece/MemoryBoundLoadTest.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.piece;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -11,7 +11,8 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaSelector.Candidate;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ForwardingSamples;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaSelector.Candidate;
 import org.sequoiaspindle.core.state.forwarding.BatchSpec;
 import org.sequoiaspindle.core.state.forwarding.Replica;
 
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/QueueWaitPredictorTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/piece/QueueWaitPredictorTest.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.piece;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/StagePlanTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/piece/StagePlanTest.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.piece;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ForwardingSamples;
 import org.sequoiaspindle.core.state.forwarding.RequestKind;
 import org.sequoiaspindle.core.state.forwarding.StageSpec;
 
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/CrashEvidenceTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/replica/CrashEvidenceTest.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.replica;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -7,7 +7,7 @@
 import java.util.Optional;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
-import org.sequoiaspindle.core.coordination.forwarding.CrashEvidence.Crash;
+import org.sequoiaspindle.core.coordination.forwarding.replica.CrashEvidence.Crash;
 import org.sequoiaspindle.core.state.forwarding.PromptPart;
 
 /** Guards against blaming the wrong part of a prompt, or none, for crashes of replicas. */
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/ForwardingSamples.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/replica/ForwardingSamples.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.replica;
 
 import java.util.List;
 import java.util.Map;
@@ -17,11 +17,12 @@
 import org.sequoiaspindle.core.state.forwarding.WeightedService;
 
 /** Sample values for the tests of this package. */
-final class ForwardingSamples {
+public final class ForwardingSamples {
 
     private ForwardingSamples() {}
 
-    static Route route(String prefix, RequestKind kind, int maxAttempts, List<StageSpec> stages) {
+    public static Route route(
+            String prefix, RequestKind kind, int maxAttempts, List<StageSpec> stages) {
         return new Route(
                 "route " + prefix,
                 "desk.example",
@@ -39,11 +40,12 @@
                 0);
     }
 
-    static Route route(String prefix, RequestKind kind) {
+    public static Route route(String prefix, RequestKind kind) {
         return route(prefix, kind, 2, List.of());
     }
 
-    static RequestMetadata request(String path, Optional<String> key, List<Integer> pieceCounts) {
+    public static RequestMetadata request(
+            String path, Optional<String> key, List<Integer> pieceCounts) {
         return new RequestMetadata(
                 "request-1",
                 "desk.example",
@@ -57,7 +59,7 @@
                 Optional.of("key"));
     }
 
-    static ForwardingTable table(Route... routes) {
+    public static ForwardingTable table(Route... routes) {
         return new ForwardingTable(
                 1,
                 List.of(routes),
@@ -67,7 +69,7 @@
                 true);
     }
 
-    static Replica replica(String name, long startedAtMillis, boolean draining) {
+    public static Replica replica(String name, long startedAtMillis, boolean draining) {
         return new Replica(
                 new ReplicaId(name, startedAtMillis),
                 "register",
@@ -77,7 +79,7 @@
                 draining);
     }
 
-    static ReplicaRegistration registration(String name, long revision) {
+    public static ReplicaRegistration registration(String name, long revision) {
         return new ReplicaRegistration("servers/" + name, revision, replica(name, 1, false));
     }
 }
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/PromptAffinityPlacementTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/replica/PromptAffinityPlacementTest.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.core.coordination.forwarding;
+package org.sequoiaspindle.core.coordination.forwarding.replica;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -9,7 +9,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaSelector.Candidate;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaSelector.Candidate;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
 import org.sequoiaspindle.core.state.forwarding.PromptPart;
 import org.sequoiaspindle.core.state.forwarding.Replica;
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/CrashReporterTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/CrashReporterTest.java
@@ -15,7 +15,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.sequoiaspindle.core.common.EventLog;
-import org.sequoiaspindle.core.coordination.forwarding.CrashEvidence;
+import org.sequoiaspindle.core.coordination.forwarding.replica.CrashEvidence;
 import org.sequoiaspindle.core.fake.VirtualTime;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.protocol.store.StoreChange;
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/PieceMessageCodecTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/PieceMessageCodecTest.java
@@ -7,7 +7,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.junit.jupiter.api.Test;
-import org.sequoiaspindle.core.coordination.forwarding.Piece;
+import org.sequoiaspindle.core.coordination.forwarding.piece.Piece;
 
 /**
  * Guards against messages that change when encoded and decoded, and against exceptions for
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/ReplicaResponseHeadTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/ReplicaResponseHeadTest.java
@@ -10,7 +10,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
-import org.sequoiaspindle.core.coordination.forwarding.AttemptResult;
+import org.sequoiaspindle.core.coordination.forwarding.admission.AttemptResult;
 
 /** Guards against telling clients that a request was not executed although it may have been. */
 final class ReplicaResponseHeadTest {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/client/ClientConnection.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.client;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -21,16 +21,22 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.sequoiaspindle.core.common.LogEvent;
-import org.sequoiaspindle.core.coordination.forwarding.DrainAdmission;
+import org.sequoiaspindle.core.coordination.forwarding.admission.DrainAdmission;
 import org.sequoiaspindle.core.state.forwarding.IngressLimits;
 import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
+import org.sequoiaspindle.daemon.transport.forwarding.request.ForwardedRequest;
+import org.sequoiaspindle.daemon.transport.forwarding.request.RequestBody;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.ClientExchange;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.ClientRequest;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.EventLoopWorker;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.ForwardingContext;
 import org.sequoiaspindle.daemon.transport.http.StrictRequestDecoder;
 
 /**
  * A client's connection. Reads complete requests one after the other and writes the responses.
  * Confined to the event loop of the connection.
  */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
+public final class ClientConnection extends ChannelInboundHandlerAdapter implements ClientExchange {
 
     /** Time for a client to read the response to an invalid request, in milliseconds. */
     private static final long CLOSE_DELAY_MS = 1_000;
@@ -48,13 +54,11 @@
     private PipelinedMessages pipelinedMessages;
     private HttpRequest requestHead;
     private RequestMetadata metadata;
-    private long headReceivedAt;
-    private long lastBytesAt;
-    private boolean headStarted;
+    private ReceiveTimes times;
     private ForwardedRequest activeRequest;
     private boolean closing;
 
-    ClientConnection(
+    public ClientConnection(
             ForwardingContext context, EventLoopWorker worker, ClientConnections connections) {
         this.context = context;
         this.worker = worker;
@@ -70,18 +74,13 @@
         responseWriter =
                 new ClientResponseWriter(
                         channel, () -> connections.isDraining() && !hasFurtherRequest());
-        lastBytesAt = context.clock().now();
+        times = new ReceiveTimes(context.clock().now());
         connections.add(this);
     }
 
     /** Records received bytes. The first bytes after a response start a new request head. */
-    void recordBytesReceived() {
-        long now = context.clock().now();
-        if (activeRequest == null && requestHead == null && !headStarted) {
-            headStarted = true;
-            headReceivedAt = now;
-        }
-        lastBytesAt = now;
+    public void recordBytesReceived() {
+        times.recordBytes(activeRequest == null && requestHead == null, context.clock().now());
     }
 
     /** Closes the connection if the client is too slow or has been idle for too long. */
@@ -90,19 +89,15 @@
             return;
         }
         long now = context.clock().now();
-        if (requestHead != null || headStarted) {
-            boolean headTimedOut =
-                    requestHead == null && now - headReceivedAt > limits.headerTimeoutMillis();
-            boolean bodyTimedOut =
-                    requestHead != null && now - lastBytesAt > limits.headerTimeoutMillis();
-            if (headTimedOut || bodyTimedOut) {
+        if (requestHead != null || times.isWithinHead()) {
+            if (times.isTooSlow(requestHead != null, limits, now)) {
                 reject(
                         REQUEST_TIMEOUT,
                         "the request was not received within "
                                 + limits.headerTimeoutMillis()
                                 + " ms");
             }
-        } else if (now - lastBytesAt > limits.idleTimeoutMillis()) {
+        } else if (times.isIdleTooLong(limits, now)) {
             channel.close();
         }
     }
@@ -131,17 +126,27 @@
         }
     }
 
+    @Override
+    public boolean isConnected() {
+        return channel.isActive();
+    }
+
+    @Override
+    public boolean isWritable() {
+        return channel.isWritable();
+    }
+
     Channel channel() {
         return channel;
     }
 
-    /** Returns whether a drain has gone too far for a new request. */
-    boolean isRejectingRequests() {
+    @Override
+    public boolean isRejectingRequests() {
         return connections.isRejectingRequests();
     }
 
-    /** Returns which requests may be executed during a drain of the instance. */
-    DrainAdmission drainAdmission() {
+    @Override
+    public DrainAdmission drainAdmission() {
         return connections.drainAdmission();
     }
 
@@ -170,7 +175,7 @@
     }
 
     private void beginRequest(HttpRequest request) {
-        headStarted = false;
+        times.recordHead(context.clock().now());
         Optional<RequestHeadValidator.Rejection> rejection =
                 RequestHeadValidator.validate(request, limits());
         if (rejection.isPresent()) {
@@ -189,7 +194,6 @@
         }
         requestHead = request;
         metadata = parsedMetadata.get();
-        headReceivedAt = context.clock().now();
         body.begin();
         if (HttpUtil.is100ContinueExpected(request)) {
             channel.writeAndFlush(
@@ -222,42 +226,38 @@
         }
         if (content instanceof LastHttpContent) {
             ClientRequest request =
-                    new ClientRequest(requestHead, metadata, body.complete(), headReceivedAt);
+                    new ClientRequest(
+                            requestHead, metadata, body.complete(), times.headReceivedAt());
             requestHead = null;
             activeRequest = new ForwardedRequest(context, worker, this, request);
             activeRequest.startAfterRead();
         }
     }
 
-    /** Writes a response without a body and proceeds to the next request. */
-    void writeResponse(int status, HttpHeaders fields) {
-        writeResponse(status, fields, Unpooled.EMPTY_BUFFER);
-    }
-
-    /** Writes a complete response and proceeds to the next request. */
-    void writeResponse(int status, HttpHeaders fields, ByteBuf content) {
+    @Override
+    public void writeResponse(int status, HttpHeaders fields, ByteBuf content) {
         finishResponse(
                 responseWriter.writeComplete(
                         activeRequest.request().head(), status, fields, content));
     }
 
-    /** Starts a response of unknown length. */
-    void startResponse(int status, HttpHeaders fields) {
+    @Override
+    public void startResponse(int status, HttpHeaders fields) {
         responseWriter.beginStream(activeRequest.request().head(), status, fields);
     }
 
-    /** Writes a part of the started response. */
-    void writePart(ByteBuf content) {
+    @Override
+    public void writePart(ByteBuf content) {
         responseWriter.writePart(content);
     }
 
-    /** Completes the started response. */
-    void endResponse() {
+    @Override
+    public void endResponse() {
         finishResponse(responseWriter.endStream(activeRequest.request().head()));
     }
 
-    /** Closes the connection, so that the started response does not look complete. */
-    void abortResponse() {
+    @Override
+    public void abortResponse() {
         activeRequest = null;
         closing = true;
         body.releaseMemory();
@@ -267,17 +267,14 @@
     private void finishResponse(boolean close) {
         activeRequest = null;
         body.releaseMemory();
-        lastBytesAt = context.clock().now();
+        boolean withinRequest = pipelinedMessages.isEmpty() && decoder.isWithinRequest();
+        times.recordResponse(!close && withinRequest, context.clock().now());
         if (close) {
             closing = true;
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
             pipelinedMessages.discard();
             return;
         }
-        if (pipelinedMessages.isEmpty() && decoder.isWithinRequest()) {
-            headStarted = true;
-            headReceivedAt = lastBytesAt;
-        }
         // A separate task prevents deep recursion when many requests are pipelined.
         if (!pipelinedMessages.isEmpty()) {
             worker.loop().execute(this::processPipelined);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientConnections.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/client/ClientConnections.java
@@ -1,14 +1,15 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.client;
 
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
-import org.sequoiaspindle.core.coordination.forwarding.DrainAdmission;
+import org.sequoiaspindle.core.coordination.forwarding.admission.DrainAdmission;
 import org.sequoiaspindle.core.state.forwarding.IngressLimits;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.MemoryBudget;
 
 /** The open client connections and the drain state of the instance. Thread-safe. */
-final class ClientConnections {
+public final class ClientConnections {
 
     /** Maximum total size of buffered request bodies; a third of the configured heap. */
     private static final long MAX_BODY_BYTES = 32L * 1024 * 1024;
@@ -33,11 +34,11 @@
     }
 
     /** Makes every connection close after the response to its current request. */
-    void drainUntil(long stopsAt) {
+    public void drainUntil(long stopsAt) {
         drain.set(new DrainAdmission(stopsAt));
     }
 
-    boolean isDraining() {
+    public boolean isDraining() {
         return drain.get().isDraining();
     }
 
@@ -46,7 +47,7 @@
     }
 
     /** Rejects new requests from now on, since there is no time left to complete them. */
-    void rejectNewRequests() {
+    public void rejectNewRequests() {
         rejectingRequests.set(true);
     }
 
@@ -55,25 +56,25 @@
     }
 
     /** Ends all requests in progress as if their deadlines had passed. */
-    void endRequests() {
+    public void endRequests() {
         for (ClientConnection connection : connections) {
             connection.channel().eventLoop().execute(connection::endRequests);
         }
     }
 
-    boolean isEmpty() {
+    public boolean isEmpty() {
         return connections.isEmpty();
     }
 
     /** Enforces the timeouts of every connection, on the event loop of the connection. */
-    void enforceTimeouts(IngressLimits limits) {
+    public void enforceTimeouts(IngressLimits limits) {
         for (ClientConnection connection : connections) {
             connection.channel().eventLoop().execute(() -> connection.enforceTimeouts(limits));
         }
     }
 
     /** Closes the connections without an active request. */
-    void closeIdle() {
+    public void closeIdle() {
         for (ClientConnection connection : connections) {
             connection.channel().eventLoop().execute(connection::closeIfIdle);
         }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientResponseWriter.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/client/ClientResponseWriter.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.client;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PipelinedMessages.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/client/PipelinedMessages.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.client;
 
 import io.netty.channel.Channel;
 import io.netty.handler.codec.http.HttpContent;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestHeadValidator.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/client/RequestHeadValidator.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.client;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpRequest;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BatchingPieceExecutor.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/BatchingPieceExecutor.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.piece;
 
 import io.vavr.collection.LinkedHashMap;
 import java.util.ArrayList;
@@ -14,14 +14,14 @@
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
-import org.sequoiaspindle.core.coordination.forwarding.BatchSelection;
-import org.sequoiaspindle.core.coordination.forwarding.Piece;
-import org.sequoiaspindle.core.coordination.forwarding.PieceSchedule;
-import org.sequoiaspindle.core.coordination.forwarding.QueueWaitPredictor;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaSelector.Candidate;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatus;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatuses;
-import org.sequoiaspindle.core.coordination.forwarding.ResultMemoryTracker;
+import org.sequoiaspindle.core.coordination.forwarding.piece.BatchSelection;
+import org.sequoiaspindle.core.coordination.forwarding.piece.Piece;
+import org.sequoiaspindle.core.coordination.forwarding.piece.PieceSchedule;
+import org.sequoiaspindle.core.coordination.forwarding.piece.QueueWaitPredictor;
+import org.sequoiaspindle.core.coordination.forwarding.piece.ResultMemoryTracker;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaSelector.Candidate;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaStatus;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaStatuses;
 import org.sequoiaspindle.core.protocol.forwarding.PieceExecutor;
 import org.sequoiaspindle.core.protocol.forwarding.PieceResult;
 import org.sequoiaspindle.core.protocol.forwarding.Registry;
@@ -29,13 +29,14 @@
 import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.core.state.forwarding.ReplicaId;
 import org.sequoiaspindle.core.state.forwarding.ServiceSpec;
-import org.sequoiaspindle.daemon.transport.forwarding.PendingPieces.PendingPiece;
+import org.sequoiaspindle.daemon.transport.forwarding.piece.PendingPieces.PendingPiece;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.EventLoopWorker;
 
 /**
  * Queues the pieces of one service and sends them to replicas in batches. Its state is confined to
  * the event loop of its worker.
  */
-final class BatchingPieceExecutor implements PieceExecutor {
+public final class BatchingPieceExecutor implements PieceExecutor {
 
     /** Delay of a batch in milliseconds, so that it includes pieces of several requests. */
     private static final long BATCH_DELAY_MS = 2;
@@ -62,7 +63,7 @@
     private boolean delayedDispatchScheduled;
     private long lastScheduledAt = Long.MIN_VALUE / 2;
 
-    BatchingPieceExecutor(
+    public BatchingPieceExecutor(
             String service,
             EventLoopWorker worker,
             Registry registry,
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/DistributedPieceExecutor.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/DistributedPieceExecutor.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.piece;
 
 import java.util.List;
 import java.util.Map;
@@ -10,21 +10,24 @@
 import java.util.stream.Collectors;
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.MillisClock;
-import org.sequoiaspindle.core.coordination.forwarding.BatchingInstanceSelector;
-import org.sequoiaspindle.core.coordination.forwarding.Piece;
+import org.sequoiaspindle.core.coordination.forwarding.piece.BatchingInstanceSelector;
+import org.sequoiaspindle.core.coordination.forwarding.piece.Piece;
 import org.sequoiaspindle.core.protocol.forwarding.PieceExecutor;
 import org.sequoiaspindle.core.protocol.forwarding.PieceResult;
 import org.sequoiaspindle.core.protocol.forwarding.Registry;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
 import org.sequoiaspindle.core.state.forwarding.InstanceEntry;
 import org.sequoiaspindle.core.state.forwarding.Replica;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.EventLoopWorker;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.HandleReleaser;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.ResultLocator;
 
 /**
  * Passes pieces to the instance that batches the pieces of the service, and passes handles to be
  * released to the same instance. Works locally if this instance batches for the service, or if the
  * other instance cannot be reached. Thread-safe.
  */
-final class DistributedPieceExecutor implements PieceExecutor, HandleReleaser {
+public final class DistributedPieceExecutor implements PieceExecutor, HandleReleaser {
 
     private final String instanceName;
     private final EventLoopWorker worker;
@@ -43,7 +46,7 @@
      * @param localExecutor executes pieces from this instance
      * @param localReleaser releases results from this instance
      */
-    DistributedPieceExecutor(
+    public DistributedPieceExecutor(
             String instanceName,
             EventLoopWorker worker,
             Registry registry,
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/LocalPieceExecutor.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/LocalPieceExecutor.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.piece;
 
 import java.util.List;
 import java.util.concurrent.CompletionStage;
@@ -6,13 +6,13 @@
 import java.util.concurrent.ConcurrentMap;
 import java.util.function.BooleanSupplier;
 import java.util.function.Function;
-import org.sequoiaspindle.core.coordination.forwarding.Piece;
+import org.sequoiaspindle.core.coordination.forwarding.piece.Piece;
 import org.sequoiaspindle.core.protocol.forwarding.PieceExecutor;
 import org.sequoiaspindle.core.protocol.forwarding.PieceResult;
 import org.sequoiaspindle.core.state.forwarding.Replica;
 
 /** Executes pieces from this instance, with one batching executor for each service. Thread-safe. */
-final class LocalPieceExecutor implements PieceExecutor {
+public final class LocalPieceExecutor implements PieceExecutor {
 
     private final Function<String, BatchingPieceExecutor> factory;
     private final ConcurrentMap<String, BatchingPieceExecutor> executors =
@@ -23,7 +23,7 @@
      *
      * @param factory creates the batching executor of a service
      */
-    LocalPieceExecutor(Function<String, BatchingPieceExecutor> factory) {
+    public LocalPieceExecutor(Function<String, BatchingPieceExecutor> factory) {
         this.factory = factory;
     }
 
@@ -36,7 +36,7 @@
     }
 
     /** Records that a call to release results at the replica has ended. */
-    void resultsReleased(Replica replica, List<String> handles) {
+    public void resultsReleased(Replica replica, List<String> handles) {
         BatchingPieceExecutor executor = executors.get(replica.service());
         if (executor != null) {
             executor.resultsReleased(replica, handles);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PendingPieces.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/PendingPieces.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.piece;
 
 import java.util.ArrayList;
 import java.util.Collection;
@@ -7,8 +7,8 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
-import org.sequoiaspindle.core.coordination.forwarding.Piece;
-import org.sequoiaspindle.core.coordination.forwarding.PieceQueue;
+import org.sequoiaspindle.core.coordination.forwarding.piece.Piece;
+import org.sequoiaspindle.core.coordination.forwarding.piece.PieceQueue;
 import org.sequoiaspindle.core.protocol.forwarding.PieceResult;
 
 /** Queued pieces of one service, with the futures that receive the results. Not thread-safe. */
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PieceFrames.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/PieceFrames.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.piece;
 
 import io.netty.channel.Channel;
 import org.sequoiaspindle.core.protocol.forwarding.PieceMessage;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PieceLink.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/PieceLink.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.piece;
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -12,7 +12,7 @@
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
-import org.sequoiaspindle.core.coordination.forwarding.Piece;
+import org.sequoiaspindle.core.coordination.forwarding.piece.Piece;
 import org.sequoiaspindle.core.protocol.forwarding.PieceMessage;
 import org.sequoiaspindle.core.protocol.forwarding.PieceResult;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/PieceListener.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/PieceListener.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.piece;
 
 import io.netty.channel.Channel;
 import java.util.List;
@@ -9,10 +9,11 @@
 import org.sequoiaspindle.core.protocol.forwarding.PieceExecutor;
 import org.sequoiaspindle.core.protocol.forwarding.PieceMessage;
 import org.sequoiaspindle.core.protocol.forwarding.PieceResult;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.HandleReleaser;
 import org.sequoiaspindle.daemon.transport.frame.FrameHandler;
 
 /** Executes the pieces requested by other instances. Thread-safe. */
-final class PieceListener {
+public final class PieceListener {
 
     private final PieceExecutor localExecutor;
     private final HandleReleaser releaser;
@@ -21,13 +22,13 @@
     /** Numbers of the pending requests, by connection. */
     private final Map<Channel, Set<Long>> pendingNumbersByConnection = new ConcurrentHashMap<>();
 
-    PieceListener(PieceExecutor localExecutor, HandleReleaser releaser, MillisClock clock) {
+    public PieceListener(PieceExecutor localExecutor, HandleReleaser releaser, MillisClock clock) {
         this.localExecutor = localExecutor;
         this.releaser = releaser;
         this.clock = clock;
     }
 
-    void install(Channel channel) {
+    public void install(Channel channel) {
         Set<Long> pendingNumbers = ConcurrentHashMap.newKeySet();
         pendingNumbersByConnection.put(channel, pendingNumbers);
         FrameHandler.install(
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClient.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/ReplicaPieceClient.java
@@ -1,19 +1,20 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.piece;
 
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicReference;
 import org.sequoiaspindle.core.common.MillisClock;
-import org.sequoiaspindle.core.coordination.forwarding.BatchSelection;
-import org.sequoiaspindle.core.coordination.forwarding.PieceCallTimeout;
-import org.sequoiaspindle.core.coordination.forwarding.RecentHandles;
+import org.sequoiaspindle.core.coordination.forwarding.piece.BatchSelection;
+import org.sequoiaspindle.core.coordination.forwarding.piece.PieceCallTimeout;
+import org.sequoiaspindle.core.coordination.forwarding.piece.RecentHandles;
 import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
 import org.sequoiaspindle.core.protocol.forwarding.PieceResult;
 import org.sequoiaspindle.core.protocol.forwarding.ReplicaResponseHead;
 import org.sequoiaspindle.core.protocol.forwarding.StageCodec;
 import org.sequoiaspindle.core.state.forwarding.BatchSpec;
 import org.sequoiaspindle.core.state.forwarding.Replica;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.ReplicaAnswerRecorder;
 import org.sequoiaspindle.daemon.transport.http.ConnectionPool.Destination;
 import org.sequoiaspindle.daemon.transport.http.HttpCallClient;
 
@@ -23,7 +24,7 @@
  * one, so a connection is used again only after such a response. Confined to the event loop of the
  * HTTP client.
  */
-final class ReplicaPieceClient {
+public final class ReplicaPieceClient {
 
     /** Maximum size of the response to a call, without the results. */
     private static final int MAX_RESPONSE_BYTES = 16 * 1024;
@@ -58,7 +59,7 @@
     /** No usable response arrived; the pieces may have been computed. */
     record Failed(String reason) implements Outcome {}
 
-    ReplicaPieceClient(
+    public ReplicaPieceClient(
             HttpCallClient client,
             ReplicaAnswerRecorder answerRecorder,
             HttpDialect dialect,
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingMain.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/ForwardingMain.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.process;
 
 import io.vavr.collection.HashMap;
 import io.vavr.collection.Vector;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/InstanceDrain.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/InstanceDrain.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.process;
 
 import io.netty.channel.EventLoop;
 import io.vavr.collection.HashMap;
@@ -8,7 +8,8 @@
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
-import org.sequoiaspindle.core.coordination.forwarding.DrainAdmission;
+import org.sequoiaspindle.core.coordination.forwarding.admission.DrainAdmission;
+import org.sequoiaspindle.daemon.transport.forwarding.client.ClientConnections;
 
 /** Stops the client connections of an instance without cutting off requests. */
 final class InstanceDrain {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ListenerSockets.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/ListenerSockets.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.process;
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
@@ -19,6 +19,7 @@
 import java.util.function.Supplier;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
 import org.sequoiaspindle.core.state.forwarding.IngressLimits;
+import org.sequoiaspindle.daemon.transport.forwarding.client.ClientConnection;
 import org.sequoiaspindle.daemon.transport.http.StrictRequestDecoder;
 
 /** Opens the listening sockets of an instance. */
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ProcessSignals.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/ProcessSignals.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.process;
 
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RegistrySync.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/RegistrySync.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.process;
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaAttempt.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.replica;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -12,9 +12,9 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
-import org.sequoiaspindle.core.coordination.forwarding.AttemptResult;
-import org.sequoiaspindle.core.coordination.forwarding.ConnectionState.Decision;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatus;
+import org.sequoiaspindle.core.coordination.forwarding.admission.AttemptResult;
+import org.sequoiaspindle.core.coordination.forwarding.connection.ConnectionState.Decision;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaStatus;
 import org.sequoiaspindle.core.protocol.forwarding.EventStreamPosition;
 import org.sequoiaspindle.core.protocol.forwarding.ReplicaRequestContext;
 import org.sequoiaspindle.core.protocol.forwarding.ReplicaResponseHead;
@@ -22,6 +22,9 @@
 import org.sequoiaspindle.core.state.forwarding.PromptPart;
 import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.core.state.forwarding.RequestKind;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.BufferedResponse;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.EventLoopWorker;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.ForwardingContext;
 import org.sequoiaspindle.daemon.transport.http.ConnectionPool.Destination;
 import org.sequoiaspindle.daemon.transport.http.OutboundConnection;
 import org.sequoiaspindle.daemon.transport.http.ResponseListener;
@@ -31,7 +34,7 @@
  * the client as it arrives. Any other response is buffered until it is complete or exceeds {@link
  * #MAX_BUFFERED_BYTES}. Confined to the event loop of the request.
  */
-final class ReplicaAttempt implements ResponseListener {
+public final class ReplicaAttempt implements ResponseListener {
 
     /**
      * Maximum size of a buffered response, in bytes. A larger success is passed on as it arrives; a
@@ -43,11 +46,13 @@
      * Maximum total size of buffered responses; a sixth of the configured heap. Beyond it,
      * successes are passed on as they arrive, and failures are given up.
      */
-    static final long MAX_TOTAL_BUFFERED_BYTES = 16L * 1024 * 1024;
+    public static final long MAX_TOTAL_BUFFERED_BYTES = 16L * 1024 * 1024;
 
     private static final int MAX_URGENCY = 9;
 
-    private final ForwardedRequest forwardedRequest;
+    private final ForwardingContext context;
+    private final EventLoopWorker worker;
+    private final AttemptOwner owner;
     private final Replica replica;
     private final ReplicaStatus replicaStatus;
     private final ByteBuf bufferedBody = Unpooled.buffer(1024);
@@ -62,16 +67,22 @@
     private boolean responseStarted;
     private boolean finished;
 
-    ReplicaAttempt(ForwardedRequest forwardedRequest, Replica replica) {
-        this.forwardedRequest = forwardedRequest;
+    public ReplicaAttempt(
+            ForwardingContext context,
+            EventLoopWorker worker,
+            AttemptOwner owner,
+            Replica replica) {
+        this.context = context;
+        this.worker = worker;
+        this.owner = owner;
         this.replica = replica;
-        this.replicaStatus = forwardedRequest.context().statuses().statusOf(replica);
+        this.replicaStatus = context.statuses().statusOf(replica);
     }
 
-    void start() {
+    public void start() {
         replicaStatus.requestStarted();
         Destination destination = new Destination(replica.address(), replica.id().toString());
-        forwardedRequest.worker().pool().acquireFor(requestId(), destination, this::connected);
+        worker.pool().acquireFor(requestId(), destination, this::connected);
     }
 
     private void connected(OutboundConnection acquiredConnection, String reason) {
@@ -82,70 +93,64 @@
             return;
         }
         if (acquiredConnection == null) {
-            long now = forwardedRequest.context().clock().now();
+            long now = context.clock().now();
             replicaStatus.updateHealth(health -> health.afterConnectFailure(now));
             finish(AttemptResult.NOT_SENT, "no connection: " + reason);
             return;
         }
         connection = acquiredConnection;
-        sentAt = forwardedRequest.context().clock().now();
-        forwardedRequest.recordSend(connection);
-        connection.send(head(), forwardedRequest.request().body().retainedDuplicate(), this);
+        sentAt = context.clock().now();
+        owner.recordSend(connection);
+        connection.send(head(), owner.request().body().retainedDuplicate(), this);
     }
 
     private HttpRequest head() {
-        HttpRequest original = forwardedRequest.request().head();
+        HttpRequest original = owner.request().head();
         HttpHeaders fields =
-                HeaderFilter.copyEndToEnd(
-                        original.headers(), forwardedRequest.context().dialect().reservedFields());
-        int length = forwardedRequest.request().body().readableBytes();
+                HeaderFilter.copyEndToEnd(original.headers(), context.dialect().reservedFields());
+        int length = owner.request().body().readableBytes();
         if (length > 0 || original.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
             fields.set(HttpHeaderNames.CONTENT_LENGTH, length);
         }
-        forwardedRequest
-                .context()
-                .dialect()
-                .replicaRequestWriter()
-                .write(replicaRequestContext(), fields::set);
+        context.dialect().replicaRequestWriter().write(replicaRequestContext(), fields::set);
         return new DefaultHttpRequest(
                 HttpVersion.HTTP_1_1, original.method(), original.uri(), fields);
     }
 
     private ReplicaRequestContext replicaRequestContext() {
-        boolean isGeneration = forwardedRequest.route().sticky();
+        boolean isGeneration = owner.admission().route().sticky();
         return new ReplicaRequestContext(
                 replica,
-                Math.max(1, forwardedRequest.millisLeft()),
-                forwardedRequest.admission().keyOwner().map(ApiKeyOwner::organisation),
+                Math.max(1, owner.millisLeft()),
+                owner.admission().keyOwner().map(ApiKeyOwner::organisation),
                 isGeneration
-                        ? Optional.of(
-                                Math.min(MAX_URGENCY, forwardedRequest.admission().priority()))
+                        ? Optional.of(Math.min(MAX_URGENCY, owner.admission().priority()))
                         : Optional.empty(),
-                forwardedRequest.inputHandles(),
+                owner.inputHandles(),
                 Optional.empty());
     }
 
-    boolean isSent() {
+    public boolean isSent() {
         return connection != null;
     }
 
     /** Returns whether the response to the client has started. */
-    boolean hasStartedResponse() {
+    public boolean hasStartedResponse() {
         return responseStarted;
     }
 
-    int responseStatus() {
+    public int responseStatus() {
         return responseHead.status();
     }
 
-    void setReading(boolean enabled) {
+    public void setReading(boolean enabled) {
         if (connection != null) {
             connection.setReading(enabled);
         }
     }
 
     /** Cancels the attempt; the replica stops when the connection closes. */
-    void abort() {
+    public void abort() {
         if (finished) {
             return;
         }
@@ -158,34 +163,26 @@
     }
 
     private void releaseMemory() {
-        forwardedRequest.context().responseMemory().release(reservedBytes);
+        context.responseMemory().release(reservedBytes);
         reservedBytes = 0;
     }
 
     @Override
     public boolean head(HttpResponse response) {
         ReplicaResponseHead parsedHead =
-                forwardedRequest
-                        .context()
-                        .dialect()
+                context.dialect()
                         .responseReader()
                         .read(
                                 response.status().code(),
                                 name -> Optional.ofNullable(response.headers().get(name)));
-        Decision owner = connection.ownerOf(parsedHead.requestId());
-        if (owner == Decision.DISCARD) {
-            forwardedRequest
-                    .context()
-                    .strayAnswers()
-                    .recordDiscarded(requestId(), replica, connection, parsedHead);
+        Decision ownership = connection.ownerOf(parsedHead.requestId());
+        if (ownership == Decision.DISCARD) {
+            context.strayAnswers().recordDiscarded(requestId(), replica, connection, parsedHead);
             return false;
         }
-        if (owner == Decision.FAIL) {
-            forwardedRequest
-                    .context()
-                    .strayAnswers()
-                    .recordDiscarded(requestId(), replica, connection, parsedHead);
-            forwardedRequest.context().answerRecorder().recordPossibleCopy(replica, parsedHead);
+        if (ownership == Decision.FAIL) {
+            context.strayAnswers().recordDiscarded(requestId(), replica, connection, parsedHead);
+            context.answerRecorder().recordPossibleCopy(replica, parsedHead);
             connection.abort();
             failed("response without an identifier on a connection in use again");
             return true;
@@ -195,7 +192,7 @@
                 !HttpUtil.isContentLengthSet(response)
                         && !HttpUtil.isTransferEncodingChunked(response);
         responseFields = HeaderFilter.copyEndToEnd(response.headers(), Set.of());
-        forwardedRequest.context().answerRecorder().record(replica, responseHead);
+        context.answerRecorder().record(replica, responseHead);
         if (responseHead.contentEncoded() || (responseHead.isSuccess() && !responseHead.sealed())) {
             connection.abort();
             failed("response without signature or with a content encoding");
@@ -225,9 +222,9 @@
         if (responseHead.isSuccess() && (isTooLong || isStream())) {
             responseStarted = true;
             releaseMemory();
-            forwardedRequest.releaseInputs();
-            forwardedRequest.firstBytesReceived();
-            forwardedRequest.client().startResponse(responseHead.status(), responseFields);
+            owner.releaseInputs();
+            owner.firstBytesReceived();
+            owner.client().startResponse(responseHead.status(), responseFields);
             forwardContent(bufferedBody);
         }
     }
@@ -235,7 +232,7 @@
     /** Reserves the memory for bytes that are not passed on yet. */
     private boolean mayBuffer(int bytes) {
         if (bufferedBody.readableBytes() + bytes > MAX_BUFFERED_BYTES
-                || !forwardedRequest.context().responseMemory().tryReserve(bytes)) {
+                || !context.responseMemory().tryReserve(bytes)) {
             return false;
         }
         reservedBytes += bytes;
@@ -243,11 +240,11 @@
     }
 
     private String requestId() {
-        return forwardedRequest.request().metadata().id();
+        return owner.request().metadata().id();
     }
 
     private boolean isStream() {
-        return forwardedRequest.route().kind() == RequestKind.STREAM;
+        return owner.admission().route().kind() == RequestKind.STREAM;
     }
 
     private boolean advance(byte next) {
@@ -258,8 +255,8 @@
     }
 
     private void forwardContent(ByteBuf bytes) {
-        forwardedRequest.client().writePart(bytes);
-        if (!forwardedRequest.client().channel().isWritable()) {
+        owner.client().writePart(bytes);
+        if (!owner.client().isWritable()) {
             connection.setReading(false);
         }
     }
@@ -276,7 +273,7 @@
         if (responseStarted) {
             finished = true;
             recordSuccess();
-            forwardedRequest.streamCompleted(responseHead.status());
+            owner.streamCompleted(responseHead.status());
             return;
         }
         finish(responseHead.attemptResult(), "status " + responseHead.status());
@@ -287,15 +284,15 @@
         if (finished) {
             return;
         }
-        long now = forwardedRequest.context().clock().now();
+        long now = context.clock().now();
         replicaStatus.updateHealth(health -> health.afterFailure(now));
         if (!eventCompleted) {
-            forwardedRequest.context().crashReporter().requestLost(replica, sharedPromptParts());
+            context.crashReporter().requestLost(replica, sharedPromptParts());
         }
         if (responseStarted) {
             finished = true;
             replicaStatus.requestFinished();
-            forwardedRequest.streamBroken(replica, responseHead.status(), reason);
+            owner.streamBroken(replica, responseHead.status(), reason);
             return;
         }
         finish(AttemptResult.UNKNOWN, reason);
@@ -304,16 +301,15 @@
     private void recordSuccess() {
         replicaStatus.requestFinished();
         replicaStatus.updateHealth(health -> health.afterSuccess());
-        ForwardingContext context = forwardedRequest.context();
         context.responseTimes()
-                .observe(forwardedRequest.route().name(), context.clock().now() - sentAt);
+                .observe(owner.admission().route().name(), context.clock().now() - sentAt);
         if (responseHead.isSuccess()) {
             context.crashReporter().requestServed(sharedPromptParts());
         }
     }
 
     private List<PromptPart> sharedPromptParts() {
-        return forwardedRequest.request().metadata().sharedPromptParts();
+        return owner.request().metadata().sharedPromptParts();
     }
 
     private void finish(AttemptResult result, String reason) {
@@ -328,6 +324,6 @@
                 responseHead == null
                         ? null
                         : new BufferedResponse(responseHead.status(), responseFields, bufferedBody);
-        forwardedRequest.attemptFinished(replica, result, response, reason);
+        owner.attemptFinished(replica, result, response, reason);
     }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaConnectionCheck.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaConnectionCheck.java
@@ -1,18 +1,19 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.replica;
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.sequoiaspindle.core.protocol.forwarding.CrashReporter;
 import org.sequoiaspindle.core.state.forwarding.Replica;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.EventLoopWorker;
 import org.sequoiaspindle.daemon.transport.http.ConnectionPool;
 import org.sequoiaspindle.daemon.transport.http.ConnectionPool.Destination;
 
 /** Checks with an idle or a new connection whether a replica still runs. Thread-safe. */
-final class ReplicaConnectionCheck implements CrashReporter.ReplicaCheck {
+public final class ReplicaConnectionCheck implements CrashReporter.ReplicaCheck {
 
     private final EventLoopWorker worker;
 
-    ReplicaConnectionCheck(EventLoopWorker worker) {
+    public ReplicaConnectionCheck(EventLoopWorker worker) {
         this.worker = worker;
     }
 
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaHandleReleaser.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaHandleReleaser.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.replica;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,6 +12,8 @@
 import org.sequoiaspindle.core.protocol.forwarding.StageCodec;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
 import org.sequoiaspindle.core.state.forwarding.Replica;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.EventLoopWorker;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.HandleReleaser;
 import org.sequoiaspindle.daemon.transport.http.ConnectionPool.Destination;
 import org.sequoiaspindle.daemon.transport.http.HttpCallClient;
 
@@ -19,7 +21,7 @@
  * Releases results at the replicas that store them, in batches. Failed calls are not retried, since
  * results expire at the replica anyway. Thread-safe.
  */
-final class ReplicaHandleReleaser implements HandleReleaser {
+public final class ReplicaHandleReleaser implements HandleReleaser {
 
     /** Time for which handles are collected for one call, in milliseconds. */
     private static final long BATCH_DELAY_MS = 10;
@@ -52,7 +54,7 @@
      * @param acceptsCalls returns whether a replica wants calls; the results of others expire there
      * @param onReleased called when a call to release handles has ended
      */
-    ReplicaHandleReleaser(
+    public ReplicaHandleReleaser(
             EventLoopWorker worker,
             StageCodec codec,
             Registry registry,
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/AttemptHistory.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/AttemptHistory.java
@@ -1,9 +1,10 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.request;
 
 import java.util.Optional;
-import org.sequoiaspindle.core.coordination.forwarding.AttemptResult;
-import org.sequoiaspindle.core.coordination.forwarding.RetryPolicy;
+import org.sequoiaspindle.core.coordination.forwarding.admission.AttemptResult;
+import org.sequoiaspindle.core.coordination.forwarding.admission.RetryPolicy;
 import org.sequoiaspindle.core.state.forwarding.Route;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.BufferedResponse;
 
 /** The attempts of one request so far. Confined to the event loop of the request. */
 final class AttemptHistory {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardedRequest.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/ForwardedRequest.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.request;
 
 import io.netty.buffer.Unpooled;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -10,28 +10,34 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import org.sequoiaspindle.core.coordination.forwarding.Admission;
-import org.sequoiaspindle.core.coordination.forwarding.AttemptResult;
-import org.sequoiaspindle.core.coordination.forwarding.RejectionReason;
-import org.sequoiaspindle.core.coordination.forwarding.RetryPolicy;
-import org.sequoiaspindle.core.coordination.forwarding.StagePlan;
+import org.sequoiaspindle.core.coordination.forwarding.admission.Admission;
+import org.sequoiaspindle.core.coordination.forwarding.admission.AttemptResult;
+import org.sequoiaspindle.core.coordination.forwarding.admission.RejectionReason;
+import org.sequoiaspindle.core.coordination.forwarding.admission.RetryPolicy;
+import org.sequoiaspindle.core.coordination.forwarding.piece.StagePlan;
 import org.sequoiaspindle.core.protocol.forwarding.RejectionResponse;
 import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.core.state.forwarding.ReplicaId;
-import org.sequoiaspindle.core.state.forwarding.Route;
+import org.sequoiaspindle.daemon.transport.forwarding.replica.AttemptOwner;
+import org.sequoiaspindle.daemon.transport.forwarding.replica.ReplicaAttempt;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.BufferedResponse;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.ClientExchange;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.ClientRequest;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.EventLoopWorker;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.ForwardingContext;
 import org.sequoiaspindle.daemon.transport.http.OutboundConnection;
 
 /**
  * Processes one client request: admission, stages, attempts at replicas and response. Confined to
  * the event loop of the client's connection.
  */
-final class ForwardedRequest {
+public final class ForwardedRequest implements AttemptOwner {
 
     private static final int CLIENT_CLOSED_REQUEST = 499;
 
     private final ForwardingContext context;
     private final EventLoopWorker worker;
-    private final ClientConnection client;
+    private final ClientExchange client;
     private final ClientRequest request;
     private final RequestTrace trace;
     private final AttemptHistory attempts = new AttemptHistory();
@@ -48,10 +54,10 @@
     private ReplicaAttempt currentAttempt;
     private boolean ended;
 
-    ForwardedRequest(
+    public ForwardedRequest(
             ForwardingContext context,
             EventLoopWorker worker,
-            ClientConnection client,
+            ClientExchange client,
             ClientRequest request) {
         this.context = context;
         this.worker = worker;
@@ -60,36 +66,28 @@
         this.trace = new RequestTrace(context, request.metadata(), request.receivedAt());
     }
 
-    ClientRequest request() {
+    @Override
+    public ClientRequest request() {
         return request;
     }
 
-    EventLoopWorker worker() {
-        return worker;
-    }
-
-    ForwardingContext context() {
-        return context;
-    }
-
-    Route route() {
-        return admission.route();
-    }
-
-    Admission.Admitted admission() {
+    @Override
+    public Admission.Admitted admission() {
         return admission;
     }
 
-    List<String> inputHandles() {
+    @Override
+    public List<String> inputHandles() {
         return inputHandles;
     }
 
-    ClientConnection client() {
+    @Override
+    public ClientExchange client() {
         return client;
     }
 
-    /** Returns the time until the deadline of the request, in milliseconds. */
-    long millisLeft() {
+    @Override
+    public long millisLeft() {
         return deadlineMillis - context.clock().now();
     }
 
@@ -97,13 +95,13 @@
      * Starts the request after the read that completed it. The close of a client that left before
      * its request was read is noticed in the same read.
      */
-    void startAfterRead() {
+    public void startAfterRead() {
         context.metrics().recordRequestStart();
         worker.loop().execute(this::start);
     }
 
     private void start() {
-        if (ended || !client.channel().isActive()) {
+        if (ended || !client.isConnected()) {
             return;
         }
         if (client.isRejectingRequests()) {
@@ -141,14 +139,14 @@
                         context,
                         worker.loop(),
                         new StageGraphExecution.Request(
-                                route(),
+                                admission.route(),
                                 request.metadata(),
                                 admission.priority(),
                                 replicaChoice
                                         .select(inputBytes, usedIds)
                                         .map(Replica::dataCentre)
                                         .orElse(""),
-                                request.receivedAt() + route().objectiveMillis(),
+                                request.receivedAt() + admission.route().objectiveMillis(),
                                 deadlineMillis),
                         this::stagesCompleted,
                         this::rejectOrFail);
@@ -191,24 +189,24 @@
         usedIds.add(replica.get().id());
         trace.recordReplica(
                 replica.get(), context.statuses().statusOf(replica.get()), context.clock().now());
-        currentAttempt = new ReplicaAttempt(this, replica.get());
+        currentAttempt = new ReplicaAttempt(context, worker, this, replica.get());
         currentAttempt.start();
     }
 
-    /** Counts an attempt whose request is about to be sent on the connection. */
-    void recordSend(OutboundConnection connection) {
+    @Override
+    public void recordSend(OutboundConnection connection) {
         trace.recordSend(connection);
         attempts.recordSend();
     }
 
-    /** Releases the stage results, which the request does not need any more. */
-    void releaseInputs() {
+    @Override
+    public void releaseInputs() {
         context.releaser().release(unreleasedHandles);
         unreleasedHandles = List.of();
     }
 
-    /** Handles the end of an attempt for which no response to the client has started. */
-    void attemptFinished(
+    @Override
+    public void attemptFinished(
             Replica replica, AttemptResult result, BufferedResponse response, String reason) {
         currentAttempt = null;
         if (result == AttemptResult.ANSWERED) {
@@ -216,7 +214,7 @@
             return;
         }
         trace.recordFailedAttempt(replica, result, reason);
-        switch (attempts.recordFailure(route(), result, response, millisLeft())) {
+        switch (attempts.recordFailure(admission.route(), result, response, millisLeft())) {
             case RETRY_UNBUDGETED -> startAttempt();
             case RETRY_WITHIN_BUDGET -> retryWithinBudget(result);
             case RECOMPUTE_INPUTS -> recomputeInputs();
@@ -281,26 +279,26 @@
         client.writeResponse(response.status(), response.fields(), response.body());
     }
 
-    /** Handles the end of a started response. */
-    void streamCompleted(int status) {
+    @Override
+    public void streamCompleted(int status) {
         finish(status, "none");
         client.endResponse();
     }
 
-    /** Handles the failure of a started response. */
-    void streamBroken(Replica replica, int status, String reason) {
+    @Override
+    public void streamBroken(Replica replica, int status, String reason) {
         trace.recordFailedAttempt(replica, AttemptResult.UNKNOWN, reason);
         finish(status, RejectionReason.ANSWER_LOST.name());
         client.abortResponse();
     }
 
-    /** Records the time at which the first bytes are passed to the client. */
-    void firstBytesReceived() {
+    @Override
+    public void firstBytesReceived() {
         trace.recordFirstBytes(context.clock().now());
     }
 
     /** Ends the request because its deadline has passed or the process is about to exit. */
-    void expire() {
+    public void expire() {
         if (ended) {
             return;
         }
@@ -315,13 +313,13 @@
         reject(wasSent ? RejectionReason.TIMED_OUT : RejectionReason.TOO_LATE);
     }
 
-    void clientDisconnected() {
+    public void clientDisconnected() {
         if (!ended) {
             finish(CLIENT_CLOSED_REQUEST, "CLIENT_LEFT");
         }
     }
 
-    void clientWritabilityChanged(boolean writable) {
+    public void clientWritabilityChanged(boolean writable) {
         if (currentAttempt != null) {
             currentAttempt.setReading(writable);
         }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RejectionFields.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/RejectionFields.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.request;
 
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaderNames;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaChoice.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/ReplicaChoice.java
@@ -1,15 +1,16 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.request;
 
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import org.sequoiaspindle.core.coordination.forwarding.Admission;
-import org.sequoiaspindle.core.coordination.forwarding.PromptAffinityPlacement;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaSelector;
+import org.sequoiaspindle.core.coordination.forwarding.admission.Admission;
+import org.sequoiaspindle.core.coordination.forwarding.replica.PromptAffinityPlacement;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaSelector;
 import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.core.state.forwarding.ReplicaId;
 import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.ForwardingContext;
 
 /** Chooses the replica for an admitted request. Stateless. */
 record ReplicaChoice(
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestAdmission.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/RequestAdmission.java
@@ -1,13 +1,14 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.request;
 
 import io.vavr.control.Either;
 import java.util.Optional;
-import org.sequoiaspindle.core.coordination.forwarding.Admission;
-import org.sequoiaspindle.core.coordination.forwarding.DrainAdmission;
-import org.sequoiaspindle.core.coordination.forwarding.RejectionReason;
-import org.sequoiaspindle.core.coordination.forwarding.StageAdmission;
+import org.sequoiaspindle.core.coordination.forwarding.admission.Admission;
+import org.sequoiaspindle.core.coordination.forwarding.admission.DrainAdmission;
+import org.sequoiaspindle.core.coordination.forwarding.admission.RejectionReason;
+import org.sequoiaspindle.core.coordination.forwarding.admission.StageAdmission;
 import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
 import org.sequoiaspindle.core.state.forwarding.Route;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.ForwardingContext;
 
 /** Decides whether a request may be executed, and whether it may still be sent to a replica. */
 final class RequestAdmission {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestBody.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/RequestBody.java
@@ -1,11 +1,12 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.request;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.MemoryBudget;
 
 /** Body of a request that is being received, with the memory that is reserved for it. */
-final class RequestBody {
+public final class RequestBody {
 
     private static final int MAX_COMPONENTS = 1_024;
 
@@ -13,21 +14,21 @@
     private CompositeByteBuf bytes;
     private long reservedBytes;
 
-    RequestBody(MemoryBudget memory) {
+    public RequestBody(MemoryBudget memory) {
         this.memory = memory;
     }
 
     /** Starts to receive another body. */
-    void begin() {
+    public void begin() {
         bytes = Unpooled.compositeBuffer(MAX_COMPONENTS);
     }
 
-    int length() {
+    public int length() {
         return bytes.readableBytes();
     }
 
     /** Takes over a part, or releases it and returns false if there is no memory for it. */
-    boolean append(ByteBuf part) {
+    public boolean append(ByteBuf part) {
         int length = part.readableBytes();
         if (!memory.tryReserve(length)) {
             part.release();
@@ -39,14 +40,14 @@
     }
 
     /** Hands over the complete body; its memory stays reserved until {@link #releaseMemory}. */
-    ByteBuf complete() {
+    public ByteBuf complete() {
         ByteBuf complete = bytes;
         bytes = null;
         return complete;
     }
 
     /** Gives up a body that has not been handed over, and the reserved memory. */
-    void release() {
+    public void release() {
         releaseMemory();
         if (bytes != null) {
             bytes.release();
@@ -54,7 +55,7 @@
         }
     }
 
-    void releaseMemory() {
+    public void releaseMemory() {
         memory.release(reservedBytes);
         reservedBytes = 0;
     }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/RequestTrace.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/RequestTrace.java
@@ -1,15 +1,16 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.request;
 
 import io.vavr.collection.LinkedHashMap;
 import io.vavr.collection.Map;
 import java.util.stream.Collectors;
 import org.sequoiaspindle.core.common.LogEvent;
-import org.sequoiaspindle.core.coordination.forwarding.Admission;
-import org.sequoiaspindle.core.coordination.forwarding.AttemptResult;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatus;
+import org.sequoiaspindle.core.coordination.forwarding.admission.Admission;
+import org.sequoiaspindle.core.coordination.forwarding.admission.AttemptResult;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaStatus;
 import org.sequoiaspindle.core.state.forwarding.PromptPart;
 import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.ForwardingContext;
 import org.sequoiaspindle.daemon.transport.http.OutboundConnection;
 
 /**
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/StageGraphExecution.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/StageGraphExecution.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.request;
 
 import io.netty.channel.EventLoop;
 import java.util.List;
@@ -7,15 +7,16 @@
 import java.util.concurrent.CompletionStage;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
-import org.sequoiaspindle.core.coordination.forwarding.Piece;
-import org.sequoiaspindle.core.coordination.forwarding.RejectionReason;
-import org.sequoiaspindle.core.coordination.forwarding.StagePlan;
+import org.sequoiaspindle.core.coordination.forwarding.admission.RejectionReason;
+import org.sequoiaspindle.core.coordination.forwarding.piece.Piece;
+import org.sequoiaspindle.core.coordination.forwarding.piece.StagePlan;
 import org.sequoiaspindle.core.protocol.forwarding.PieceResult;
 import org.sequoiaspindle.core.state.forwarding.BatchSpec;
 import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
 import org.sequoiaspindle.core.state.forwarding.Route;
 import org.sequoiaspindle.core.state.forwarding.ServiceSpec;
 import org.sequoiaspindle.core.state.forwarding.StageSpec;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.ForwardingContext;
 
 /**
  * Executes the stages of one request. A stage starts as soon as all its dependencies are complete.
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/BufferedResponse.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/BufferedResponse.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.shared;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -8,4 +8,4 @@
  *
  * @param body body in a heap buffer, which need not be released
  */
-record BufferedResponse(int status, HttpHeaders fields, ByteBuf body) {}
+public record BufferedResponse(int status, HttpHeaders fields, ByteBuf body) {}
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ClientRequest.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ClientRequest.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.shared;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpRequest;
@@ -7,7 +7,8 @@
 /**
  * A complete request of a client.
  *
- * @param body body, owned and released by the {@link ForwardedRequest}
+ * @param body body, owned and released by the request that is being executed
  * @param receivedAt time at which the head was received, in milliseconds
  */
-record ClientRequest(HttpRequest head, RequestMetadata metadata, ByteBuf body, long receivedAt) {}
+public record ClientRequest(
+        HttpRequest head, RequestMetadata metadata, ByteBuf body, long receivedAt) {}
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/EventLoopWorker.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/EventLoopWorker.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.shared;
 
 import io.netty.channel.EventLoop;
 import java.util.concurrent.TimeUnit;
@@ -10,10 +10,10 @@
  * An event loop with a connection pool and an HTTP client, so that a request is handled on one
  * thread.
  */
-record EventLoopWorker(EventLoop loop, ConnectionPool pool, HttpCallClient httpClient) {
+public record EventLoopWorker(EventLoop loop, ConnectionPool pool, HttpCallClient httpClient) {
 
     /** Returns a timer whose tasks run on the event loop. */
-    Timer timer() {
+    public Timer timer() {
         return (delayMillis, task) -> {
             var scheduled = loop.schedule(task, Math.max(0, delayMillis), TimeUnit.MILLISECONDS);
             return () -> scheduled.cancel(false);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContext.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ForwardingContext.java
@@ -1,13 +1,13 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.shared;
 
 import java.util.Optional;
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.MillisClock;
-import org.sequoiaspindle.core.coordination.forwarding.DurationEstimates;
-import org.sequoiaspindle.core.coordination.forwarding.FirstByteTimeEstimates;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatuses;
-import org.sequoiaspindle.core.coordination.forwarding.ServiceRetryBudgets;
-import org.sequoiaspindle.core.coordination.forwarding.StageAdmission;
+import org.sequoiaspindle.core.coordination.forwarding.admission.DurationEstimates;
+import org.sequoiaspindle.core.coordination.forwarding.admission.FirstByteTimeEstimates;
+import org.sequoiaspindle.core.coordination.forwarding.admission.ServiceRetryBudgets;
+import org.sequoiaspindle.core.coordination.forwarding.admission.StageAdmission;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaStatuses;
 import org.sequoiaspindle.core.protocol.forwarding.CrashReporter;
 import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
 import org.sequoiaspindle.core.protocol.forwarding.PieceExecutor;
@@ -24,7 +24,7 @@
  * @param pieceTimes estimated time from the request of a piece to its result, by service
  * @param responseTimes estimated time from sending a request to the end of the response, by route
  */
-record ForwardingContext(
+public record ForwardingContext(
         ForwardingSettings settings,
         Registry registry,
         HttpDialect dialect,
@@ -55,12 +55,12 @@
      */
     private static final double SEND_AGE_FRACTION = 0.94;
 
-    ReplicaStatuses statuses() {
+    public ReplicaStatuses statuses() {
         return answerRecorder.statuses();
     }
 
     /** Returns whether requests with an API key may be accepted. */
-    boolean mayAcceptWithKey() {
+    public boolean mayAcceptWithKey() {
         return keysConfirmed(ACCEPT_AGE_FRACTION, 0);
     }
 
@@ -69,12 +69,12 @@
      *
      * @param afterMillis delay from now until the request is sent
      */
-    boolean maySendWithKey(long afterMillis) {
+    public boolean maySendWithKey(long afterMillis) {
         return keysConfirmed(SEND_AGE_FRACTION, afterMillis);
     }
 
     /** Returns whether replicas crash under a part of the request's prompt. */
-    boolean isPromptHarmful(RequestMetadata metadata) {
+    public boolean isPromptHarmful(RequestMetadata metadata) {
         return registry.crashEvidence()
                 .harmfulPart(metadata.sharedPromptParts(), clock.now())
                 .isPresent();
@@ -85,7 +85,7 @@
      *
      * @return empty if the stages may start
      */
-    Optional<StageAdmission.Rejection> decideOnStages(
+    public Optional<StageAdmission.Rejection> decideOnStages(
             Route route, RequestMetadata metadata, long remainingMillis) {
         return new StageAdmission(settings.maxPiecesPerRequest())
                 .decide(
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/HandleReleaser.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/HandleReleaser.java
@@ -1,10 +1,10 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.shared;
 
 import java.util.List;
 
 /** Releases stage results that are not needed any more. Thread-safe; does not block. */
 @FunctionalInterface
-interface HandleReleaser {
+public interface HandleReleaser {
 
     void release(List<String> handles);
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/MemoryBudget.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/MemoryBudget.java
@@ -1,18 +1,18 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.shared;
 
 import java.util.concurrent.atomic.AtomicLong;
 
 /** Limit of the memory that all requests together may use for one purpose. Thread-safe. */
-final class MemoryBudget {
+public final class MemoryBudget {
 
     private final long limitBytes;
     private final AtomicLong usedBytes = new AtomicLong();
 
-    MemoryBudget(long limitBytes) {
+    public MemoryBudget(long limitBytes) {
         this.limitBytes = limitBytes;
     }
 
-    long limitBytes() {
+    public long limitBytes() {
         return limitBytes;
     }
 
@@ -20,7 +20,7 @@
      * Reserves memory, which must be released; returns false and reserves none if too little is
      * left.
      */
-    boolean tryReserve(long bytes) {
+    public boolean tryReserve(long bytes) {
         long used = usedBytes.addAndGet(bytes);
         if (used > limitBytes) {
             usedBytes.addAndGet(-bytes);
@@ -29,7 +29,7 @@
         return true;
     }
 
-    void release(long bytes) {
+    public void release(long bytes) {
         usedBytes.addAndGet(-bytes);
     }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaAnswerRecorder.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ReplicaAnswerRecorder.java
@@ -1,11 +1,11 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.shared;
 
 import io.vavr.collection.HashMap;
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatus;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatuses;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaStatus;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaStatuses;
 import org.sequoiaspindle.core.protocol.forwarding.ReplicaResponseHead;
 import org.sequoiaspindle.core.state.forwarding.Replica;
 
@@ -13,10 +13,10 @@
  * Records what replicas say about themselves in the heads of their answers: load, shutdown and
  * requests for a pause. Thread-safe.
  */
-record ReplicaAnswerRecorder(ReplicaStatuses statuses, MillisClock clock, EventLog events) {
+public record ReplicaAnswerRecorder(ReplicaStatuses statuses, MillisClock clock, EventLog events) {
 
     /** Records an answer that is known to be the one to the latest request on its connection. */
-    void record(Replica replica, ReplicaResponseHead head) {
+    public void record(Replica replica, ReplicaResponseHead head) {
         ReplicaStatus status = statuses.statusOf(replica);
         long now = clock.now();
         head.load().ifPresent(load -> status.recordLoad(load, now));
@@ -34,7 +34,7 @@
      * Records an answer that may be a late copy of an earlier one. A shutdown is final, but the
      * load and a pause may be out of date.
      */
-    void recordPossibleCopy(Replica replica, ReplicaResponseHead head) {
+    public void recordPossibleCopy(Replica replica, ReplicaResponseHead head) {
         ReplicaStatus status = statuses.statusOf(replica);
         long now = clock.now();
         recordLeaving(replica, head, now);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/ResultLocator.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ResultLocator.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.shared;
 
 import java.util.List;
 import java.util.Map;
@@ -9,17 +9,17 @@
 import org.sequoiaspindle.core.state.forwarding.Replica;
 
 /** Finds the replica that stores a result. Thread-safe. */
-record ResultLocator(StageCodec codec, Registry registry) {
+public record ResultLocator(StageCodec codec, Registry registry) {
 
     /**
      * Returns the replica that stores a result, or empty if the replica is not registered any more.
      */
-    Optional<Replica> replicaOf(String handle) {
+    public Optional<Replica> replicaOf(String handle) {
         return codec.replicaAddress(handle).flatMap(registry.replicas()::replicaAt);
     }
 
     /** Counts the results stored in each data centre. */
-    Map<String, Long> countByDataCentre(List<String> handles) {
+    public Map<String, Long> countByDataCentre(List<String> handles) {
         return handles.stream()
                 .map(this::replicaOf)
                 .flatMap(Optional::stream)
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/StrayAnswerLog.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/StrayAnswerLog.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.shared;
 
 import io.netty.handler.codec.http.HttpResponse;
 import io.vavr.collection.HashMap;
@@ -13,13 +13,13 @@
 import org.sequoiaspindle.daemon.transport.telemetry.ForwardingMetrics;
 
 /** Logs and counts answers that servers send besides the answer to a request. Thread-safe. */
-record StrayAnswerLog(
+public record StrayAnswerLog(
         HttpDialect.ResponseReader responseReader, ForwardingMetrics metrics, EventLog events) {
 
     private static final String NONE = "none";
 
     /** Records bytes on a connection without a request in progress. */
-    void recordUnrequested(UnrequestedBytes bytes) {
+    public void recordUnrequested(UnrequestedBytes bytes) {
         Optional<ReplicaResponseHead> head = bytes.head().map(this::read);
         record(
                 NONE,
@@ -31,7 +31,7 @@
     }
 
     /** Records an answer to another request that arrived in place of the expected one. */
-    void recordDiscarded(
+    public void recordDiscarded(
             String requestId,
             Replica replica,
             OutboundConnection connection,
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/OutboundConnection.java
@@ -18,8 +18,8 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.util.Optional;
 import java.util.function.Consumer;
-import org.sequoiaspindle.core.coordination.forwarding.ConnectionState;
-import org.sequoiaspindle.core.coordination.forwarding.ConnectionState.Decision;
+import org.sequoiaspindle.core.coordination.forwarding.connection.ConnectionState;
+import org.sequoiaspindle.core.coordination.forwarding.connection.ConnectionState.Decision;
 
 /**
  * A connection to a server that carries one request at a time. Confined to the event loop of the
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ResponseBodySearch.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ResponseBodySearch.java
@@ -5,7 +5,7 @@
 import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
 import java.util.function.Predicate;
-import org.sequoiaspindle.core.coordination.forwarding.EmbeddedHeadSearch;
+import org.sequoiaspindle.core.coordination.forwarding.connection.EmbeddedHeadSearch;
 
 /**
  * Searches the body of a response for the head of another one; see {@link EmbeddedHeadSearch}.
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ResponseHeads.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/ResponseHeads.java
@@ -4,8 +4,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.Map;
-import org.sequoiaspindle.core.coordination.forwarding.ConnectionState.BodyEnd;
-import org.sequoiaspindle.core.coordination.forwarding.EmbeddedHeadSearch;
+import org.sequoiaspindle.core.coordination.forwarding.connection.ConnectionState.BodyEnd;
+import org.sequoiaspindle.core.coordination.forwarding.connection.EmbeddedHeadSearch;
 
 /** Reads from the head of a response what decides about its connection. */
 public final class ResponseHeads {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/StrictResponseDecoder.java
@@ -10,7 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.regex.Pattern;
-import org.sequoiaspindle.core.coordination.forwarding.EmbeddedHeadSearch;
+import org.sequoiaspindle.core.coordination.forwarding.connection.EmbeddedHeadSearch;
 
 /**
  * Response decoder that rejects heads which the standard decoder accepts although they are not
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/LayersTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/LayersTest.java
@@ -7,6 +7,7 @@
 import com.tngtech.archunit.junit.AnalyzeClasses;
 import com.tngtech.archunit.junit.ArchTest;
 import com.tngtech.archunit.lang.syntax.ArchRuleDefinition;
+import com.tngtech.archunit.library.dependencies.SlicesRuleDefinition;
 
 /** Guards against lower layers that depend on higher ones, in this module and in core. */
 @AnalyzeClasses(
@@ -70,4 +71,14 @@
                 .callMethod(System.class, "nanoTime")
                 .check(classes);
     }
+
+    /** The parts of the forwarding path depend on each other only in the direction of a request. */
+    @ArchTest
+    void packagesOfTheForwardingPathHaveNoCycle(JavaClasses classes) {
+        SlicesRuleDefinition.slices()
+                .matching("..daemon.transport.forwarding.(*)..")
+                .should()
+                .beFreeOfCycles()
+                .check(classes);
+    }
 }
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/PieceLinkTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/piece/PieceLinkTest.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.piece;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
@@ -22,7 +22,7 @@
 import org.junit.jupiter.api.Test;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
-import org.sequoiaspindle.core.coordination.forwarding.Piece;
+import org.sequoiaspindle.core.coordination.forwarding.piece.Piece;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
 
 /** Guards against requests that wait for an instance already known to be unreachable. */
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/RepeatedPieceReplyTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/piece/RepeatedPieceReplyTest.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.piece;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.MillisClock;
-import org.sequoiaspindle.core.coordination.forwarding.Piece;
+import org.sequoiaspindle.core.coordination.forwarding.piece.Piece;
 import org.sequoiaspindle.core.protocol.forwarding.PieceMessage;
 import org.sequoiaspindle.core.protocol.forwarding.PieceResult;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ReplicaPieceClientTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/piece/ReplicaPieceClientTest.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.piece;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
@@ -30,9 +30,9 @@
 import org.junit.jupiter.api.Test;
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.MillisClock;
-import org.sequoiaspindle.core.coordination.forwarding.BatchSelection;
-import org.sequoiaspindle.core.coordination.forwarding.Piece;
-import org.sequoiaspindle.core.coordination.forwarding.ReplicaStatuses;
+import org.sequoiaspindle.core.coordination.forwarding.piece.BatchSelection;
+import org.sequoiaspindle.core.coordination.forwarding.piece.Piece;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaStatuses;
 import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
 import org.sequoiaspindle.core.protocol.forwarding.PieceResult;
 import org.sequoiaspindle.core.protocol.forwarding.Registry;
@@ -50,6 +50,9 @@
 import org.sequoiaspindle.core.state.forwarding.ReplicaId;
 import org.sequoiaspindle.core.state.forwarding.ReplicaLoad;
 import org.sequoiaspindle.daemon.transport.ScriptedServer;
+import org.sequoiaspindle.daemon.transport.forwarding.replica.ReplicaHandleReleaser;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.EventLoopWorker;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.ReplicaAnswerRecorder;
 import org.sequoiaspindle.daemon.transport.http.ConnectionPool;
 import org.sequoiaspindle.daemon.transport.http.HttpCallClient;
 
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ProcessSignalsTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/process/ProcessSignalsTest.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.process;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/RequestTraceTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/request/RequestTraceTest.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.request;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
@@ -9,12 +9,13 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.sequoiaspindle.core.common.EventLog;
-import org.sequoiaspindle.core.coordination.forwarding.Admission;
-import org.sequoiaspindle.core.coordination.forwarding.AttemptResult;
+import org.sequoiaspindle.core.coordination.forwarding.admission.Admission;
+import org.sequoiaspindle.core.coordination.forwarding.admission.AttemptResult;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
 import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.core.state.forwarding.ReplicaId;
 import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.ForwardingContext;
 import org.sequoiaspindle.daemon.transport.telemetry.ForwardingMetrics;
 
 /** Guards against failed attempts that cannot be assigned to a connection afterwards. */
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/ForwardingContextTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ForwardingContextTest.java
@@ -1,4 +1,4 @@
-package org.sequoiaspindle.daemon.transport.forwarding;
+package org.sequoiaspindle.daemon.transport.forwarding.shared;
 
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/http/ConnectionFixture.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/http/ConnectionFixture.java
@@ -16,7 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
-import org.sequoiaspindle.core.coordination.forwarding.ConnectionState.Decision;
+import org.sequoiaspindle.core.coordination.forwarding.connection.ConnectionState.Decision;
 
 /** An outbound connection on an embedded channel, with a server that is played by the test. */
 final class ConnectionFixture {
