Agree on the terms under which a replica may be sent requests

Cause: evacuated data centres, cold endpoints and the pace of an endpoint all change the choice of an endpoint, and would each have edited the same files. Change: SendRule and SendTerms are the one value that the choice reads; ReplicaStatuses applies it to requests, calls of pieces and releases.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatuses.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatuses.java
@@ -13,6 +13,7 @@
 public final class ReplicaStatuses {
 
     private final String dataCentre;
+    private final SendRule sendRule;
     private final ConcurrentMap<ReplicaId, ReplicaStatus> statuses = new ConcurrentHashMap<>();
 
     /**
@@ -21,33 +22,54 @@
      * @param dataCentre data centre of this instance
      */
     public ReplicaStatuses(String dataCentre) {
+        this(dataCentre, SendRule.UNRESTRICTED);
+    }
+
+    /**
+     * Creates an empty set.
+     *
+     * @param dataCentre data centre of this instance
+     * @param sendRule rule on sending requests to replicas
+     */
+    public ReplicaStatuses(String dataCentre, SendRule sendRule) {
         this.dataCentre = dataCentre;
+        this.sendRule = sendRule;
     }
 
     public ReplicaStatus statusOf(Replica replica) {
         return statuses.computeIfAbsent(replica.id(), id -> new ReplicaStatus());
     }
 
-    /** Returns whether a replica has neither announced its shutdown nor asked for a pause. */
+    /** Returns the terms on which requests may be sent to a replica. */
+    public SendTerms termsFor(Replica replica, long now) {
+        return sendRule.termsFor(replica, now);
+    }
+
+    /**
+     * Returns whether a replica has neither announced its shutdown nor asked for a pause, and may
+     * be sent requests.
+     */
     public boolean acceptsRequests(Replica replica, long now) {
-        return statusOf(replica).availability().acceptsRequests(now);
+        return statusOf(replica).availability().acceptsRequests(now)
+                && !termsFor(replica, now).isClosed();
     }
 
-    /** Returns the replicas that have not announced their shutdown. */
-    public List<Replica> withoutLeaving(List<Replica> replicas) {
-        return replicas.stream()
-                .filter(replica -> !statusOf(replica).availability().isLeaving())
-                .toList();
+    /** Returns the replicas that have not announced their shutdown and may be sent requests. */
+    public List<Replica> withoutClosed(List<Replica> replicas, long now) {
+        return replicas.stream().filter(replica -> !isClosed(replica, now)).toList();
+    }
+
+    private boolean isClosed(Replica replica, long now) {
+        return statusOf(replica).availability().isLeaving() || termsFor(replica, now).isClosed();
     }
 
     /**
      * Returns the time until the first of the replicas accepts requests, in milliseconds: 0 if one
-     * does now, and empty if all of them are leaving.
+     * does now, and empty if all of them are leaving or closed.
      */
     public OptionalLong millisUntilAvailable(List<Replica> replicas, long now) {
-        return replicas.stream()
+        return withoutClosed(replicas, now).stream()
                 .map(replica -> statusOf(replica).availability())
-                .filter(availability -> !availability.isLeaving())
                 .mapToLong(availability -> Math.max(0, availability.pausedUntil() - now))
                 .min();
     }
@@ -64,7 +86,7 @@
                             ReplicaStatus status = statusOf(replica);
                             return new Candidate(
                                     replica,
-                                    status.expectedLoad(now),
+                                    status.expectedLoad(now) / termsFor(replica, now).capacity(),
                                     status.health().isEjected(now),
                                     replica.dataCentre().equals(dataCentre));
                         })
--- a/core/src/main/java/org/sequoiaspindle/core/state/forwarding/ServiceSpec.java
+++ b/core/src/main/java/org/sequoiaspindle/core/state/forwarding/ServiceSpec.java
@@ -9,6 +9,18 @@
  * @param batch present if the service computes pieces of stages
  * @param runsLanguageModel whether the replicas run language models, which batch requests
  *     themselves
+ * @param cold present if the replicas are cold for some time after their start
  */
 public record ServiceSpec(
-        String name, int maxConnections, Optional<BatchSpec> batch, boolean runsLanguageModel) {}
+        String name,
+        int maxConnections,
+        Optional<BatchSpec> batch,
+        boolean runsLanguageModel,
+        Optional<ColdSpec> cold) {
+
+    /** Creates a service whose replicas are never cold. */
+    public ServiceSpec(
+            String name, int maxConnections, Optional<BatchSpec> batch, boolean runsLanguageModel) {
+        this(name, maxConnections, batch, runsLanguageModel, Optional.empty());
+    }
+}
--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatusesTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatusesTest.java
@@ -25,7 +25,7 @@
         assertTrue(statuses.statusOf(first).recordLeaving(NOW));
         assertFalse(statuses.statusOf(first).recordLeaving(NOW + 1));
         assertEquals(List.of(second), candidates(NOW));
-        assertEquals(List.of(second), statuses.withoutLeaving(List.of(first, second)));
+        assertEquals(List.of(second), statuses.withoutClosed(List.of(first, second), NOW));
     }
 
     @Test
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/settings/ForwardingSettingsReader.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/protocol/settings/ForwardingSettingsReader.java
@@ -27,6 +27,8 @@
     private static final double MAX_PROCESSOR = 1_024;
     private static final int PERCENT = 100;
     private static final long MAX_PIECES_PER_REQUEST = 100_000;
+    private static final double MAX_MEMORY_MB = 1e6;
+    private static final double BYTES_PER_MB = 1e6;
     private static final Pattern NAME_PATTERN = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,63}");
     private static final String NAME_EXPECTED =
             "write 1 to 64 letters, digits, dots, hyphens or underscores";
@@ -75,7 +77,9 @@
                                         Option.some(
                                                 (long)
                                                         ForwardingSettings
-                                                                .DEFAULT_MAX_PIECES_PER_REQUEST)));
+                                                                .DEFAULT_MAX_PIECES_PER_REQUEST)),
+                        EndpointRulesReader.read(root),
+                        memoryLimits(root));
         root.rejectUnknownFields();
         return settings;
     }
@@ -99,6 +103,21 @@
         return (int) Math.max(1, Math.round(share * speed * PERCENT));
     }
 
+    private static ForwardingSettings.MemoryLimits memoryLimits(SettingsFields root) {
+        if (!root.has("memory")) {
+            return ForwardingSettings.MemoryLimits.NONE;
+        }
+        SettingsFields fields = root.object("memory");
+        double limit = fields.decimal("limitMB", 1, MAX_MEMORY_MB);
+        double reserve = fields.decimal("reserveMB", 0, MAX_MEMORY_MB);
+        if (reserve >= limit) {
+            fields.addProblem("reserveMB", "write less than limitMB");
+        }
+        fields.rejectUnknownFields();
+        return new ForwardingSettings.MemoryLimits(
+                (long) (limit * BYTES_PER_MB), (long) (reserve * BYTES_PER_MB));
+    }
+
     private static long maxRevokedKeyMillis(SettingsFields fields) {
         boolean strict = fields.flag("strict", false);
         long limit = (long) fields.decimal("limitMs", 0, MAX_DURATION_MS);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/state/ForwardingSettings.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/state/ForwardingSettings.java
@@ -1,5 +1,6 @@
 package org.sequoiaspindle.daemon.state;
 
+import java.util.Optional;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
 
@@ -23,6 +24,8 @@
  * @param logLevel lowest level of events that are logged
  * @param processorPercent processor time that the instance may use, in percent of a core
  * @param maxPiecesPerRequest maximum number of pieces of a request, all stages together
+ * @param endpointRules rules on sending requests to replicas
+ * @param memory memory that the process may use
  */
 public record ForwardingSettings(
         String instance,
@@ -40,11 +43,50 @@
         long leaseMillis,
         LogEvent.Level logLevel,
         int processorPercent,
-        int maxPiecesPerRequest) {
+        int maxPiecesPerRequest,
+        EndpointRules endpointRules,
+        MemoryLimits memory) {
 
     /** Number of pieces that a request may have unless the settings state another one. */
     public static final int DEFAULT_MAX_PIECES_PER_REQUEST = 1_000;
 
+    /**
+     * Rules that a deployment sets on sending requests to replicas.
+     *
+     * @param evacuationLimitMillis time after which nothing may reach an evacuated data centre, in
+     *     milliseconds; 0 if data centres are not evacuated
+     * @param coldRate limit of the rate at cold replicas, empty if there is none
+     * @param pace whether replicas get as much as their answers show that they carry
+     */
+    public record EndpointRules(
+            long evacuationLimitMillis, Optional<ColdRate> coldRate, boolean pace) {
+
+        /** No rules. */
+        public static final EndpointRules NONE = new EndpointRules(0, Optional.empty(), false);
+
+        public boolean evacuatesDataCentres() {
+            return evacuationLimitMillis > 0;
+        }
+    }
+
+    /**
+     * Limit of the requests that all instances together send to a cold replica in a second: the
+     * rate that its service states, times a factor, plus a slack.
+     */
+    public record ColdRate(double factor, double slack) {}
+
+    /**
+     * Memory that the process may use.
+     *
+     * @param limitBytes memory of the machine, 0 if it is not limited
+     * @param reserveBytes part of it that is kept for everything but traffic
+     */
+    public record MemoryLimits(long limitBytes, long reserveBytes) {
+
+        /** No limit. */
+        public static final MemoryLimits NONE = new MemoryLimits(0, 0);
+    }
+
     /**
      * Limits of retries.
      *
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/BatchingPieceExecutor.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/BatchingPieceExecutor.java
@@ -131,7 +131,8 @@
     private void dispatch() {
         Optional<BatchSpec> spec =
                 registry.configuration().service(service).flatMap(ServiceSpec::batch);
-        List<Replica> replicas = statuses.withoutLeaving(registry.replicas().replicasOf(service));
+        List<Replica> replicas =
+                statuses.withoutClosed(registry.replicas().replicasOf(service), clock.now());
         if (spec.isEmpty() || replicas.isEmpty()) {
             queuedPieces.failAll(PieceResult.Reason.NO_REPLICA);
             return;
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ForwardingContextTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ForwardingContextTest.java
@@ -116,6 +116,8 @@
                 3_000,
                 LogEvent.Level.INFO,
                 100,
-                ForwardingSettings.DEFAULT_MAX_PIECES_PER_REQUEST);
+                ForwardingSettings.DEFAULT_MAX_PIECES_PER_REQUEST,
+                ForwardingSettings.EndpointRules.NONE,
+                ForwardingSettings.MemoryLimits.NONE);
     }
 }
