Send endpoints the share of requests that their answers show

An endpoint that has just started, has recovered or has become slow was either overloaded or, because its reports looked well while its answers failed, sent more than the others.

EndpointPace estimates the share of its usual rate that an endpoint carries, from times to the first byte, load reports, refusals and failures. PaceRule gives it as the capacity of SendTerms; endpoints registered after the first listing start at a twentieth and rise within 6 s. ReplicaSelector counts the request itself by the capacity and weights the rendezvous hash with it; with capacity 1 everywhere both give the former choice. The queue of stage calls counts endpoints by capacity and takes the fastest of equally loaded ones. Active only with the setting `pace`.

PaceScenariosTest plays six loads with and without the rule.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/piece/QueueWaitPredictor.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/piece/QueueWaitPredictor.java
@@ -48,12 +48,12 @@
      * at the current rate.
      *
      * @param schedule pending pieces
-     * @param replicas number of usable replicas
+     * @param replicas number of usable replicas, counted by the share of their rate that they carry
      * @param now time at which the next call can start, in milliseconds; later than the current
      *     time while all replicas have asked for a pause
      */
     public List<Piece> findUnservable(
-            BatchSpec spec, PieceSchedule schedule, int replicas, long now) {
+            BatchSpec spec, PieceSchedule schedule, double replicas, long now) {
         double rate = piecesPerMilli(spec, replicas, now);
         double earliestEnd = now + spec.durationMillis(1);
         List<Piece> unservablePieces = new ArrayList<>();
@@ -76,7 +76,7 @@
     }
 
     /** Returns the expected completion rate, in pieces a millisecond. */
-    public double piecesPerMilli(BatchSpec spec, int replicas, long now) {
+    public double piecesPerMilli(BatchSpec spec, double replicas, long now) {
         double fullRate = spec.maxPieces() / spec.durationMillis(spec.maxPieces());
         return Math.max(decayedRate(now), MIN_CAPACITY_SHARE * fullRate * spec.slots() * replicas);
     }
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaSelector.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaSelector.java
@@ -14,11 +14,24 @@
     /**
      * A replica that may be selected.
      *
-     * @param load expected number of requests in flight at the replica from all callers
+     * @param load expected number of requests in flight at the replica from all callers, divided by
+     *     the capacity
      * @param ejected whether recent failures exclude the replica unless there is no other
      * @param local whether the replica is in the data centre of this instance
+     * @param capacity share of its usual rate that the replica carries, above 0 and at most 1
      */
-    record Candidate(Replica replica, double load, boolean ejected, boolean local) {}
+    record Candidate(
+            Replica replica, double load, boolean ejected, boolean local, double capacity) {
+
+        /** Order by capacity that leaves the order of replicas of the same capacity. */
+        public static final Comparator<Candidate> FASTEST_FIRST =
+                Comparator.comparingDouble(Candidate::capacity).reversed();
+
+        /** Creates a candidate that carries its usual rate. */
+        public Candidate(Replica replica, double load, boolean ejected, boolean local) {
+            this(replica, load, ejected, local, 1);
+        }
+    }
 
     /**
      * Selects one of the candidates.
@@ -60,7 +73,8 @@
     /**
      * Sends requests with the same affinity key to the same replica by rendezvous hashing, so that
      * the replica processes the common prompt parts of the requests once. All instances rank the
-     * replicas alike. Overloaded replicas are skipped.
+     * replicas alike. Overloaded replicas are skipped, and a replica of a lower capacity is first
+     * for fewer keys in proportion, without a change for keys that it was not first for.
      */
     ReplicaSelector HASH_AFFINITY =
             (candidates, affinityKey, excludedReplicas) -> {
@@ -78,10 +92,7 @@
                 double limit = loadLimit(eligibleCandidates);
                 return eligibleCandidates.stream()
                         .filter(candidate -> candidate.load() <= limit)
-                        .max(
-                                (a, b) ->
-                                        Long.compareUnsigned(
-                                                hashRank(affinityKey, a), hashRank(affinityKey, b)))
+                        .max((a, b) -> compareRanks(affinityKey, a, b))
                         .map(Candidate::replica);
             };
 
@@ -90,7 +101,9 @@
      * candidates.
      */
     static double loadLimit(List<Candidate> candidates) {
-        double mean = candidates.stream().mapToDouble(Candidate::load).average().orElse(0);
+        double requests = candidates.stream().mapToDouble(c -> c.load() * c.capacity()).sum();
+        double capacity = candidates.stream().mapToDouble(Candidate::capacity).sum();
+        double mean = capacity > 0 ? requests / capacity : 0;
         return mean * MAX_LOAD_FACTOR + ALWAYS_ACCEPTED_REQUESTS;
     }
 
@@ -100,13 +113,43 @@
      */
     double EJECTED_COST = 1e6;
 
+    /** Number of low bits of a hash that a number from 0 to 1 does not hold. */
+    int UNUSED_HASH_BITS = 12;
+
+    double HASH_RANGE = 0x1p52;
+
+    double HALF = 0.5;
+
     private static double costOf(Candidate candidate) {
         double remotePenalty = candidate.local() ? 0 : REMOTE_PENALTY_REQUESTS;
         double loadPerSlot =
-                (candidate.load() + remotePenalty) / Math.max(1, candidate.replica().slots());
+                (candidate.load() + ownCost(candidate) + remotePenalty)
+                        / Math.max(1, candidate.replica().slots());
         return candidate.ejected() ? EJECTED_COST + loadPerSlot : loadPerSlot;
     }
 
+    /**
+     * Returns by how much more the request itself would load the replica than one that carries its
+     * usual rate. Without it, a slow replica would equal a usual one while both are idle.
+     */
+    private static double ownCost(Candidate candidate) {
+        return 1 / candidate.capacity() - 1;
+    }
+
+    /** Compares by weighted rendezvous hashing; equal capacities leave the order of the hashes. */
+    private static int compareRanks(String affinityKey, Candidate a, Candidate b) {
+        long first = hashRank(affinityKey, a);
+        long second = hashRank(affinityKey, b);
+        return a.capacity() == b.capacity()
+                ? Long.compareUnsigned(first, second)
+                : Double.compare(weighted(first, a.capacity()), weighted(second, b.capacity()));
+    }
+
+    private static double weighted(long hash, double capacity) {
+        double uniform = ((hash >>> UNUSED_HASH_BITS) + HALF) / HASH_RANGE;
+        return -capacity / Math.log(uniform);
+    }
+
     private static long hashRank(String affinityKey, Candidate candidate) {
         return StableHash.of(affinityKey, candidate.replica().id().toString());
     }
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatus.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatus.java
@@ -20,6 +20,7 @@
     private final AtomicReference<LoadReport> lastReport = new AtomicReference<>();
     private final AtomicReference<ReplicaAvailability> availability =
             new AtomicReference<>(ReplicaAvailability.AVAILABLE);
+    private final AtomicReference<EndpointPace> pace = new AtomicReference<>(EndpointPace.USUAL);
 
     /** Counts a request to the replica as in flight until {@link #requestFinished} is called. */
     public void requestStarted() {
@@ -43,6 +44,14 @@
         health.updateAndGet(change);
     }
 
+    public EndpointPace pace() {
+        return pace.get();
+    }
+
+    public void updatePace(UnaryOperator<EndpointPace> change) {
+        pace.updateAndGet(change);
+    }
+
     public ReplicaAvailability availability() {
         return availability.get();
     }
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatuses.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatuses.java
@@ -84,15 +84,22 @@
                 .map(
                         replica -> {
                             ReplicaStatus status = statusOf(replica);
+                            double capacity = termsFor(replica, now).capacity();
                             return new Candidate(
                                     replica,
-                                    status.expectedLoad(now) / termsFor(replica, now).capacity(),
+                                    status.expectedLoad(now) / capacity,
                                     status.health().isEjected(now),
-                                    replica.dataCentre().equals(dataCentre));
+                                    replica.dataCentre().equals(dataCentre),
+                                    capacity);
                         })
                 .toList();
     }
 
+    /** Returns how many replicas of full capacity carry as much as the given ones together. */
+    public double totalCapacity(List<Replica> replicas, long now) {
+        return replicas.stream().mapToDouble(replica -> termsFor(replica, now).capacity()).sum();
+    }
+
     /**
      * Removes the replicas that are not in the table and have no requests in flight. What they have
      * said about themselves is kept for some time.
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/ReplicaResponseHead.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/ReplicaResponseHead.java
@@ -47,6 +47,11 @@
         return status >= SERVER_ERROR;
     }
 
+    /** Returns whether the request named another process than the one that answered. */
+    public boolean isMisdirected() {
+        return status == MISDIRECTED_REQUEST;
+    }
+
     /**
      * Returns the result of the attempt that ends with this response. A replica may have executed a
      * request that it rejects without stating the contrary, so such a rejection is not passed on:
@@ -59,7 +64,7 @@
         if (notExecuted) {
             return status == CONFLICT ? AttemptResult.INPUTS_GONE : AttemptResult.NOT_EXECUTED;
         }
-        if (status == MISDIRECTED_REQUEST) {
+        if (isMisdirected()) {
             return AttemptResult.NOT_EXECUTED;
         }
         if (NOT_EXECUTED_STATUSES.contains(status)) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/BatchingPieceExecutor.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/BatchingPieceExecutor.java
@@ -205,8 +205,10 @@
                                     replica,
                                     busy ? spec.slots() : calls,
                                     candidate.ejected(),
-                                    candidate.local());
+                                    candidate.local(),
+                                    candidate.capacity());
                         })
+                .sorted(Candidate.FASTEST_FIRST)
                 .toList();
     }
 
@@ -214,7 +216,10 @@
         List<Candidate> usableCandidates = candidates.stream().filter(c -> !c.ejected()).toList();
         PieceSchedule.Capacity capacity =
                 new PieceSchedule.Capacity(
-                        waitPredictor.piecesPerMilli(spec, usableCandidates.size(), clock.now()),
+                        waitPredictor.piecesPerMilli(
+                                spec,
+                                usableCandidates.stream().mapToDouble(Candidate::capacity).sum(),
+                                clock.now()),
                         countByDataCentre(usableCandidates),
                         countByDataCentre(
                                 usableCandidates.stream()
@@ -238,7 +243,8 @@
         long now = clock.now();
         long firstCallAt = now + statuses.millisUntilAvailable(replicas, now).orElse(0);
         List<Piece> unservablePieces =
-                waitPredictor.findUnservable(spec, schedule, replicas.size(), firstCallAt);
+                waitPredictor.findUnservable(
+                        spec, schedule, statuses.totalCapacity(replicas, now), firstCallAt);
         queuedPieces.fail(unservablePieces, PieceResult.Reason.LATE);
         return !unservablePieces.isEmpty();
     }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/ForwardingInstance.java
@@ -24,6 +24,7 @@
 import org.sequoiaspindle.core.coordination.forwarding.admission.DurationEstimates;
 import org.sequoiaspindle.core.coordination.forwarding.admission.FirstByteTimeEstimates;
 import org.sequoiaspindle.core.coordination.forwarding.admission.ServiceRetryBudgets;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaStatus;
 import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaStatuses;
 import org.sequoiaspindle.core.protocol.forwarding.CrashReporter;
 import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
@@ -33,6 +34,7 @@
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
 import org.sequoiaspindle.core.state.forwarding.InstanceEntry;
+import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.daemon.state.ForwardingSettings;
 import org.sequoiaspindle.daemon.transport.forwarding.client.ClientConnection;
 import org.sequoiaspindle.daemon.transport.forwarding.client.ClientConnections;
@@ -89,6 +91,7 @@
     private final ForwardingContext context;
     private final PieceListener pieceListener;
     private final RegistrySync registrySync;
+    private final PaceMonitor paceMonitor;
     private HostPort clientAddress;
     private HostPort readinessAddress;
 
@@ -112,8 +115,10 @@
         registry = new Registry(adapter.layout(), clock, MillisClock.wall(), events);
         Store store = metrics.countStoreCalls(adapter.storeFactory().apply(control.httpClient()));
         registrySync = closer.register(newRegistrySync(adapter, store));
-        ReplicaStatuses statuses = new ReplicaStatuses(settings.dataCentre());
-        ReplicaAnswerRecorder answerRecorder = new ReplicaAnswerRecorder(statuses, clock, events);
+        paceMonitor = new PaceMonitor(settings, this::statusOf, metrics, events);
+        ReplicaStatuses statuses =
+                new ReplicaStatuses(settings.dataCentre(), paceMonitor.sendRule());
+        ReplicaAnswerRecorder answerRecorder = paceMonitor.answerRecorder(statuses, clock);
         LocalPieceExecutor localExecutor =
                 new LocalPieceExecutor(
                         service -> newBatchingExecutor(service, answerRecorder, adapter));
@@ -246,6 +251,11 @@
     private void runChecks() {
         connections.enforceTimeouts(registry.configuration().limits());
         context.statuses().retainOnly(registry.replicas(), clock.now());
+        paceMonitor.update(registry, clock.now());
+    }
+
+    private ReplicaStatus statusOf(Replica replica) {
+        return context.statuses().statusOf(replica);
     }
 
     private boolean isReady() {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaAttempt.java
@@ -55,6 +55,7 @@
     private final AttemptOwner owner;
     private final Replica replica;
     private final ReplicaStatus replicaStatus;
+    private final AttemptPace pace;
     private final ByteBuf bufferedBody = Unpooled.buffer(1024);
     private long reservedBytes;
     private long sentAt;
@@ -77,6 +78,7 @@
         this.owner = owner;
         this.replica = replica;
         this.replicaStatus = context.statuses().statusOf(replica);
+        this.pace = new AttemptPace(context, owner, replica);
     }
 
     public void start() {
@@ -95,11 +97,13 @@
         if (acquiredConnection == null) {
             long now = context.clock().now();
             replicaStatus.updateHealth(health -> health.afterConnectFailure(now));
+            pace.failed();
             finish(AttemptResult.NOT_SENT, "no connection: " + reason);
             return;
         }
         connection = acquiredConnection;
         sentAt = context.clock().now();
+        pace.sent();
         owner.recordSend(connection);
         connection.send(head(), owner.request().body().retainedDuplicate(), this);
     }
@@ -156,6 +160,7 @@
         }
         finished = true;
         releaseMemory();
+        pace.aborted();
         replicaStatus.requestFinished();
         if (connection != null) {
             connection.abort();
@@ -205,6 +210,7 @@
         if (finished) {
             return;
         }
+        pace.bytesReceived(responseHead);
         if (isStream()) {
             bytes.forEachByte(this::advance);
         }
@@ -276,6 +282,7 @@
             owner.streamCompleted(responseHead.status());
             return;
         }
+        pace.ended(responseHead);
         finish(responseHead.attemptResult(), "status " + responseHead.status());
     }
 
@@ -286,6 +293,7 @@
         }
         long now = context.clock().now();
         replicaStatus.updateHealth(health -> health.afterFailure(now));
+        pace.failed();
         if (!eventCompleted) {
             context.crashReporter().requestLost(replica, sharedPromptParts());
         }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ReplicaAnswerRecorder.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ReplicaAnswerRecorder.java
@@ -10,16 +10,23 @@
 import org.sequoiaspindle.core.state.forwarding.Replica;
 
 /**
- * Records what replicas say about themselves in the heads of their answers: load, shutdown and
- * requests for a pause. Thread-safe.
+ * Records what replicas say about themselves in the heads of their answers: load, pace, shutdown
+ * and requests for a pause. Thread-safe.
  */
-public record ReplicaAnswerRecorder(ReplicaStatuses statuses, MillisClock clock, EventLog events) {
+public record ReplicaAnswerRecorder(
+        ReplicaStatuses statuses, PaceRecorder pace, MillisClock clock, EventLog events) {
+
+    /** Creates a recorder for a deployment without the pace rule. */
+    public ReplicaAnswerRecorder(ReplicaStatuses statuses, MillisClock clock, EventLog events) {
+        this(statuses, new PaceRecorder(statuses, clock, false), clock, events);
+    }
 
     /** Records an answer that is known to be the one to the latest request on its connection. */
     public void record(Replica replica, ReplicaResponseHead head) {
         ReplicaStatus status = statuses.statusOf(replica);
         long now = clock.now();
         head.load().ifPresent(load -> status.recordLoad(load, now));
+        pace.recordHead(replica, head);
         recordLeaving(replica, head, now);
         head.pauseMillis()
                 .ifPresent(
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
@@ -3,21 +3,25 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.sequoiaspindle.core.protocol.relay.RelayedStore;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.protocol.store.StoreCommand;
 import org.sequoiaspindle.core.protocol.store.StoreResult;
 
 /**
- * Prometheus metrics of a forwarding instance. Label values come only from the configuration and
- * from fixed sets, which bounds the number of time series. Thread-safe.
+ * Prometheus metrics of a forwarding instance. Label values come only from the configuration, from
+ * the registrations of endpoints and from fixed sets, which bounds the number of time series.
+ * Thread-safe.
  */
 public final class ForwardingMetrics {
 
@@ -69,6 +73,31 @@
                     .help("Forwarded requests in flight")
                     .register(registry);
 
+    /**
+     * Pace of an endpoint.
+     *
+     * @param capacity share of its usual rate that it carries
+     */
+    public record EndpointPaceSample(String endpoint, String service, double capacity) {}
+
+    /** Exposes the pace of the endpoints that carry less than their usual rate. */
+    public void exposePaces(Supplier<List<EndpointPaceSample>> samples) {
+        GaugeWithCallback.builder()
+                .name("sequoiaspindle_endpoint_pace")
+                .help("Share of its usual rate that an endpoint carries, of those below 1")
+                .labelNames("endpoint", "service")
+                .callback(
+                        callback ->
+                                samples.get()
+                                        .forEach(
+                                                sample ->
+                                                        callback.call(
+                                                                sample.capacity(),
+                                                                sample.endpoint(),
+                                                                sample.service())))
+                .register(registry);
+    }
+
     /** Exposes the number of lines of the log that were dropped because nobody read the output. */
     public void countDroppedLines(LongSupplier droppedLines) {
         CounterWithCallback.builder()
