--- a/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/replica/PaceScenariosTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/coordination/forwarding/replica/PaceScenariosTest.java
@@ -11,12 +11,12 @@
 
 /**
  * Loads under which replicas carry less than usual, each with the pace rule and with the rule that
- * restricts nothing. The bounds were fixed before the first run: callers accept one late answer in
+ * restricts nothing. The bounds were fixed before the first run: callers accept two late answers in
  * a hundred, and a replica that refuses callers holds three times its slots.
  */
 final class PaceScenariosTest {
 
-    private static final double IN_TIME = 0.99;
+    private static final double IN_TIME = 0.98;
     private static final double RARE = 0.01;
     private static final int WARM_UP_MS = 3_600;
 
@@ -44,7 +44,7 @@
                 };
         Seen paced = scenario.apply(true);
         Seen unpaced = scenario.apply(false);
-        assertTrue(paced.result().shareInTime() >= IN_TIME - RARE, paced + " " + unpaced);
+        assertTrue(paced.result().shareInTime() >= IN_TIME, paced + " " + unpaced);
         assertTrue(paced.maxLoad() <= PaceSimulation.SLOTS, paced + " " + unpaced);
         assertTrue(paced.part() > USED, paced + " " + unpaced);
         assertTrue(late(paced) < late(unpaced), paced + " " + unpaced);
@@ -82,7 +82,7 @@
                 };
         Seen paced = scenario.apply(true);
         Seen unpaced = scenario.apply(false);
-        assertTrue(paced.result().shareInTime() >= IN_TIME - RARE, paced + " " + unpaced);
+        assertTrue(paced.result().shareInTime() >= IN_TIME, paced + " " + unpaced);
         assertTrue(paced.part() > USED, paced + " " + unpaced);
         assertTrue(late(paced) < late(unpaced), paced + " " + unpaced);
     }
@@ -128,7 +128,7 @@
                 };
         Seen paced = scenario.apply(true);
         Seen unpaced = scenario.apply(false);
-        assertTrue(paced.result().shareInTime() >= IN_TIME - RARE, paced + " " + unpaced);
+        assertTrue(paced.result().shareInTime() >= IN_TIME, paced + " " + unpaced);
         assertTrue(paced.maxLoad() <= PaceSimulation.SLOTS, paced + " " + unpaced);
         assertTrue(paced.part() > USED, paced + " " + unpaced);
         assertTrue(late(paced) < late(unpaced), paced + " " + unpaced);
