Read from the store which data centres are evacuated

Cause: an operator evacuates a data centre by a key in the store; the instances did not read it. Change: Evacuations merges changes and listings by store revision, so that a late update never brings an older state back. RegistryWatcher lists the keys first of all, since nothing else has to be in force as soon; changes come through the watch of all keys. RegistryLayout has the prefix only where the setting is on; other deployments make no further call.

--- a/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
+++ b/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
@@ -46,7 +46,9 @@
     PROMPT_PART_CLEARED(608, Level.INFO, "prompt part answered; evidence withdrawn"),
     CRASH_EVIDENCE_NOT_SHARED(609, Level.WARN, "evidence of a crash could not be shared"),
     ENDPOINT_ANNOUNCED_LEAVING(610, Level.INFO, "endpoint announced its shutdown in an answer"),
-    ENDPOINT_PAUSED(611, Level.INFO, "endpoint asked for no requests for some time");
+    ENDPOINT_PAUSED(611, Level.INFO, "endpoint asked for no requests for some time"),
+    DATA_CENTRE_EVACUATED(612, Level.WARN, "data centre evacuated"),
+    DATA_CENTRE_RESTORED(613, Level.INFO, "data centre restored");
 
     /** Severity of an event. */
     public enum Level {
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/Registry.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/Registry.java
@@ -9,17 +9,18 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
-import java.util.function.UnaryOperator;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.coordination.forwarding.admission.KeyConfirmation;
 import org.sequoiaspindle.core.coordination.forwarding.replica.CrashEvidence;
 import org.sequoiaspindle.core.coordination.forwarding.replica.CrashEvidence.Crash;
-import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaDirectory;
 import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaRegistration;
 import org.sequoiaspindle.core.protocol.store.StoreChange;
 import org.sequoiaspindle.core.protocol.store.StoreValue;
+import org.sequoiaspindle.core.state.forwarding.Evacuations;
 import org.sequoiaspindle.core.state.forwarding.ForwardingTable;
 import org.sequoiaspindle.core.state.forwarding.InstanceEntry;
 import org.sequoiaspindle.core.state.forwarding.Replica;
@@ -38,16 +39,14 @@
      */
     static final long MIN_OUTAGE_MS = 1_000;
 
-    private record ReplicaSnapshot(ReplicaDirectory directory, ReplicaTable table) {}
-
     private final RegistryLayout layout;
     private final MillisClock clock;
     private final MillisClock wallClock;
     private final EventLog events;
+    private final ReplicaDirectoryState replicas;
+    private final EvacuationState evacuations;
     private final AtomicReference<ForwardingTable> currentConfiguration =
             new AtomicReference<>(ForwardingTable.NONE);
-    private final AtomicReference<ReplicaSnapshot> replicaSnapshot =
-            new AtomicReference<>(new ReplicaSnapshot(ReplicaDirectory.EMPTY, ReplicaTable.EMPTY));
     private final AtomicReference<Map<String, InstanceEntry>> instances =
             new AtomicReference<>(Map.of());
     private final AtomicReference<CrashEvidence> crashEvidence =
@@ -63,10 +62,26 @@
 
     public Registry(
             RegistryLayout layout, MillisClock clock, MillisClock wallClock, EventLog events) {
+        this(layout, clock, wallClock, events, Evacuations::with);
+    }
+
+    /**
+     * Creates an empty registry.
+     *
+     * @param merge returns the evacuated data centres after an update
+     */
+    Registry(
+            RegistryLayout layout,
+            MillisClock clock,
+            MillisClock wallClock,
+            EventLog events,
+            BiFunction<Evacuations, Evacuations.Update, Evacuations> merge) {
         this.layout = layout;
         this.clock = clock;
         this.wallClock = wallClock;
         this.events = events;
+        replicas = new ReplicaDirectoryState(events);
+        evacuations = new EvacuationState(layout.evacuationPrefix().orElse(""), merge, events);
     }
 
     /** Returns the current configuration. The version never decreases. */
@@ -75,12 +90,30 @@
     }
 
     public ReplicaTable replicas() {
-        return replicaSnapshot.get().table();
+        return replicas.table();
     }
 
-    /** Returns whether a configuration and the list of replicas have been read. */
+    /**
+     * Returns whether a configuration, the list of replicas and, where data centres are evacuated,
+     * the list of these have been read.
+     */
     public boolean isInitialised() {
-        return !configuration().isUnconfigured() && replicasListed.get();
+        return !configuration().isUnconfigured()
+                && replicasListed.get()
+                && (layout.evacuationPrefix().isEmpty() || evacuations().isListed());
+    }
+
+    /** Returns which data centres are evacuated. */
+    public Evacuations evacuations() {
+        return evacuations.current();
+    }
+
+    /**
+     * Sets the listener that gets the name of each data centre that is restored, on the thread that
+     * applies what was read from the store.
+     */
+    public void onDataCentreRestored(Consumer<String> listener) {
+        evacuations.onRestored(listener);
     }
 
     /** Returns the registered instances of the system by name, including this instance. */
@@ -133,7 +166,7 @@
     void replaceReplicas(Collection<StoreChange.Written> items) {
         Collection<ReplicaRegistration> entries =
                 items.stream().map(this::decodeRegistration).flatMap(Optional::stream).toList();
-        updateReplicas(
+        replicas.update(
                 directory ->
                         directory.withAllRegistrations(entries, storeReachableSince, clock.now()));
         replicasListed.set(true);
@@ -155,6 +188,10 @@
             CrashEvidenceKeys.crash(change).ifPresent(crash -> applyCrash(crash, change));
             return;
         }
+        if (layout.isEvacuationKey(change.key())) {
+            evacuations.applyChange(change);
+            return;
+        }
         if (!change.key().startsWith(layout.replicaPrefix())) {
             return;
         }
@@ -163,9 +200,9 @@
                         ? decodeRegistration(written)
                         : Optional.empty();
         if (entry.isPresent()) {
-            updateReplicas(directory -> directory.withRegistration(entry.get()));
+            replicas.update(directory -> directory.withRegistration(entry.get()));
         } else {
-            updateReplicas(
+            replicas.update(
                     directory ->
                             directory.withoutRegistration(
                                     change.key(),
@@ -175,6 +212,11 @@
         }
     }
 
+    /** Applies a complete listing of the keys that evacuate data centres. */
+    void replaceEvacuations(Collection<StoreChange.Written> items, long revision) {
+        evacuations.applyListing(items, revision);
+    }
+
     /** Applies a complete listing of the registrations of instances. */
     void replaceInstances(Collection<StoreChange.Written> items) {
         Map<String, InstanceEntry> next = new java.util.HashMap<>();
@@ -251,7 +293,7 @@
 
     /** Removes the replicas that did not register again in time after a store outage. */
     public void removeStaleReplicas() {
-        updateReplicas(directory -> directory.withoutStaleEntries(clock.now()));
+        replicas.update(directory -> directory.withoutStaleEntries(clock.now()));
     }
 
     /**
@@ -294,44 +336,4 @@
         Optional<Replica> replica = layout.replicaDecoder().apply(item);
         return replica.map(value -> new ReplicaRegistration(item.key(), item.revision(), value));
     }
-
-    private void updateReplicas(UnaryOperator<ReplicaDirectory> change) {
-        ReplicaSnapshot before =
-                replicaSnapshot.getAndUpdate(
-                        current -> {
-                            ReplicaDirectory next = change.apply(current.directory());
-                            return next == current.directory()
-                                    ? current
-                                    : new ReplicaSnapshot(next, next.table());
-                        });
-        logReplicaChanges(before.table(), replicaSnapshot.get().table());
-    }
-
-    private void logReplicaChanges(ReplicaTable before, ReplicaTable after) {
-        if (before == after) {
-            return;
-        }
-        for (Replica replica : after.all()) {
-            if (!before.contains(replica.id())) {
-                record(LogEvent.ENDPOINT_ADDED, replica);
-            }
-        }
-        for (Replica replica : before.all()) {
-            if (!after.contains(replica.id())) {
-                record(LogEvent.ENDPOINT_LEAVING, replica);
-            }
-        }
-    }
-
-    private void record(LogEvent event, Replica replica) {
-        events.record(
-                event,
-                HashMap.of(
-                        "endpoint",
-                        replica.address().toString(),
-                        "id",
-                        replica.id().toString(),
-                        "service",
-                        replica.service()));
-    }
 }
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryLayout.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryLayout.java
@@ -16,9 +16,32 @@
  * @param configurationDecoder decodes a configuration, or returns a description of the error
  * @param replicaDecoder decodes a replica's registration; returns empty if the registration is
  *     invalid
+ * @param evacuationPrefix prefix of the keys that evacuate data centres; the rest of a key is the
+ *     name of the data centre. Empty if data centres are not evacuated; the keys are not read then.
  */
 public record RegistryLayout(
         String configurationKey,
         String replicaPrefix,
         Function<StoreValue, Either<String, ForwardingTable>> configurationDecoder,
-        Function<StoreChange.Written, Optional<Replica>> replicaDecoder) {}
+        Function<StoreChange.Written, Optional<Replica>> replicaDecoder,
+        Optional<String> evacuationPrefix) {
+
+    /** Creates the layout of a deployment that evacuates no data centres. */
+    public RegistryLayout(
+            String configurationKey,
+            String replicaPrefix,
+            Function<StoreValue, Either<String, ForwardingTable>> configurationDecoder,
+            Function<StoreChange.Written, Optional<Replica>> replicaDecoder) {
+        this(
+                configurationKey,
+                replicaPrefix,
+                configurationDecoder,
+                replicaDecoder,
+                Optional.empty());
+    }
+
+    /** Returns whether a key evacuates a data centre. */
+    boolean isEvacuationKey(String key) {
+        return evacuationPrefix.filter(key::startsWith).isPresent();
+    }
+}
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcher.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcher.java
@@ -152,26 +152,41 @@
     }
 
     /**
-     * Lists replicas, instances and evidence of crashes, then watches for changes since the oldest
-     * page was read.
+     * Lists evacuations, replicas, instances and evidence of crashes, then watches for changes
+     * since the oldest page was read.
      */
     private void listAll() {
         long number = listingNumber.incrementAndGet();
         watchedRevision.set(Long.MAX_VALUE);
+        if (layout.evacuationPrefix().isEmpty()) {
+            listReplicas(number, 0);
+            return;
+        }
+        // First, because nothing else that is listed has to be in force as soon.
+        list(
+                new Listing(number, layout.evacuationPrefix().get(), Vector.empty(), 0),
+                evacuations -> {
+                    registry.replaceEvacuations(
+                            evacuations.items().asJava(), evacuations.revision());
+                    listReplicas(number, evacuations.revision());
+                });
+    }
+
+    private void listReplicas(long number, long revision) {
         list(
-                new Listing(number, layout.replicaPrefix(), Vector.empty(), 0),
+                new Listing(number, layout.replicaPrefix(), Vector.empty(), revision),
                 replicas -> {
                     registry.replaceReplicas(replicas.items().asJava());
-                    list(
-                            new Listing(
-                                    number,
-                                    InstanceEntryCodec.PREFIX,
-                                    Vector.empty(),
-                                    replicas.revision()),
-                            instances -> {
-                                registry.replaceInstances(instances.items().asJava());
-                                listCrashes(number, instances.revision());
-                            });
+                    listInstances(number, replicas.revision());
+                });
+    }
+
+    private void listInstances(long number, long revision) {
+        list(
+                new Listing(number, InstanceEntryCodec.PREFIX, Vector.empty(), revision),
+                instances -> {
+                    registry.replaceInstances(instances.items().asJava());
+                    listCrashes(number, instances.revision());
                 });
     }
 
