--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatuses.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatuses.java
@@ -45,22 +45,34 @@
         return sendRule.termsFor(replica, now);
     }
 
+    /**
+     * Returns whether nothing may be sent to a replica. To be asked again just before the first
+     * byte, because the replica may have been closed while a connection was opened.
+     */
+    public boolean isClosed(Replica replica, long now) {
+        return termsFor(replica, now).isClosed();
+    }
+
+    /** Returns the number of replicas to which something may be sent. */
+    public int countOpen(List<Replica> replicas, long now) {
+        return (int) replicas.stream().filter(replica -> !isClosed(replica, now)).count();
+    }
+
     /**
      * Returns whether a replica has neither announced its shutdown nor asked for a pause, and may
      * be sent requests.
      */
     public boolean acceptsRequests(Replica replica, long now) {
-        return statusOf(replica).availability().acceptsRequests(now)
-                && !termsFor(replica, now).isClosed();
+        return statusOf(replica).availability().acceptsRequests(now) && !isClosed(replica, now);
     }
 
     /** Returns the replicas that have not announced their shutdown and may be sent requests. */
     public List<Replica> withoutClosed(List<Replica> replicas, long now) {
-        return replicas.stream().filter(replica -> !isClosed(replica, now)).toList();
+        return replicas.stream().filter(replica -> !isLeavingOrClosed(replica, now)).toList();
     }
 
-    private boolean isClosed(Replica replica, long now) {
-        return statusOf(replica).availability().isLeaving() || termsFor(replica, now).isClosed();
+    private boolean isLeavingOrClosed(Replica replica, long now) {
+        return statusOf(replica).availability().isLeaving() || isClosed(replica, now);
     }
 
     /**
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/EvacuationState.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/EvacuationState.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.LogEvent;
+import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.protocol.store.StoreChange;
 import org.sequoiaspindle.core.state.forwarding.Evacuations;
 
@@ -18,10 +19,29 @@
  */
 final class EvacuationState {
 
+    /**
+     * Evacuated data centres.
+     *
+     * @param since time at which this instance learned of each evacuation, in milliseconds
+     */
+    private record Snapshot(Evacuations evacuations, Map<String, Long> since) {
+
+        private Snapshot next(Evacuations after, long now) {
+            return new Snapshot(
+                    after,
+                    after.evacuated().stream()
+                            .collect(
+                                    Collectors.toUnmodifiableMap(
+                                            name -> name, name -> since.getOrDefault(name, now))));
+        }
+    }
+
     private final String prefix;
     private final BiFunction<Evacuations, Evacuations.Update, Evacuations> merge;
+    private final MillisClock wallClock;
     private final EventLog events;
-    private final AtomicReference<Evacuations> current = new AtomicReference<>(Evacuations.UNREAD);
+    private final AtomicReference<Snapshot> snapshot =
+            new AtomicReference<>(new Snapshot(Evacuations.UNREAD, Map.of()));
     private volatile Consumer<String> onRestored = dataCentre -> {};
 
     /**
@@ -32,14 +52,20 @@
     EvacuationState(
             String prefix,
             BiFunction<Evacuations, Evacuations.Update, Evacuations> merge,
+            MillisClock wallClock,
             EventLog events) {
         this.prefix = prefix;
         this.merge = merge;
+        this.wallClock = wallClock;
         this.events = events;
     }
 
     Evacuations current() {
-        return current.get();
+        return snapshot.get().evacuations();
+    }
+
+    Map<String, Long> evacuatedSince() {
+        return snapshot.get().since();
     }
 
     void onRestored(Consumer<String> listener) {
@@ -70,7 +96,11 @@
     }
 
     private void update(Evacuations.Update update) {
-        Evacuations before = current.getAndUpdate(state -> merge.apply(state, update));
+        long now = wallClock.now();
+        Evacuations before =
+                snapshot.getAndUpdate(
+                                last -> last.next(merge.apply(last.evacuations(), update), now))
+                        .evacuations();
         Evacuations after = merge.apply(before, update);
         for (String name : after.evacuated()) {
             if (!before.isEvacuated(name)) {
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/Registry.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/Registry.java
@@ -81,7 +81,8 @@
         this.wallClock = wallClock;
         this.events = events;
         replicas = new ReplicaDirectoryState(events);
-        evacuations = new EvacuationState(layout.evacuationPrefix().orElse(""), merge, events);
+        evacuations =
+                new EvacuationState(layout.evacuationPrefix().orElse(""), merge, wallClock, events);
     }
 
     /** Returns the current configuration. The version never decreases. */
@@ -108,6 +109,14 @@
         return evacuations.current();
     }
 
+    /**
+     * Returns when this instance learned of the evacuation of each evacuated data centre, in
+     * milliseconds of the wall clock.
+     */
+    public Map<String, Long> evacuatedSince() {
+        return evacuations.evacuatedSince();
+    }
+
     /**
      * Sets the listener that gets the name of each data centre that is restored, on the thread that
      * applies what was read from the store.
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/SimulatedFleet.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/SimulatedFleet.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.BiFunction;
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.common.Timer;
 import org.sequoiaspindle.core.fake.SimulatedStore;
@@ -20,6 +21,7 @@
 import org.sequoiaspindle.core.protocol.store.StoreChange;
 import org.sequoiaspindle.core.protocol.store.StoreCommand;
 import org.sequoiaspindle.core.protocol.store.StoreResult;
+import org.sequoiaspindle.core.state.forwarding.Evacuations;
 import org.sequoiaspindle.core.state.forwarding.ForwardingTable;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
 import org.sequoiaspindle.core.state.forwarding.IngressLimits;
@@ -34,6 +36,7 @@
 final class SimulatedFleet {
 
     static final String CONFIGURATION_KEY = "op/config";
+    static final String EVACUATION_PREFIX = "op/evacuate/";
 
     private static final long LINK_LATENCY_MS = 1;
     private static final long CONNECT_TIMEOUT_MS = 400;
@@ -50,10 +53,24 @@
     /** Links that lose everything, as "from>to". */
     private final Set<String> cutLinks = new HashSet<>();
 
+    private final Optional<EvacuationMerge> evacuationMerge;
     private boolean delaysMessages;
 
+    /** Earlier listing of the evacuations, which one listing in three returns once more. */
+    private Optional<StoreResult> earlierListing = Optional.empty();
+
+    /** Returns the evacuated data centres after an update. */
+    interface EvacuationMerge extends BiFunction<Evacuations, Evacuations.Update, Evacuations> {}
+
     SimulatedFleet(Random random, int size, int dataCentres) {
+        this(random, size, dataCentres, Optional.empty());
+    }
+
+    /** Creates instances that read which data centres are evacuated if there is a merge. */
+    SimulatedFleet(
+            Random random, int size, int dataCentres, Optional<EvacuationMerge> evacuationMerge) {
         this.random = random;
+        this.evacuationMerge = evacuationMerge;
         time = new VirtualTime(100_000, random);
         store = new SimulatedStore(time);
         for (int number = 0; number < size; number++) {
@@ -111,10 +128,16 @@
             MillisClock monotonic = () -> time.now() - suspendedMillis;
             MillisClock wall = () -> time.now() + wallStepMillis;
             Timer timer = newTimer(life);
-            registry = new Registry(layout(), monotonic, wall, (event, fields) -> {});
+            registry =
+                    new Registry(
+                            layout(),
+                            monotonic,
+                            wall,
+                            (event, fields) -> {},
+                            evacuationMerge.orElse(Evacuations::with));
             sharedStore =
                     new SharedStore(
-                            command -> inThisLife(store.execute(name, command)),
+                            command -> inThisLife(executeAtStore(name, command)),
                             CONFIGURATION_KEY,
                             monotonic,
                             timer);
@@ -239,6 +262,23 @@
         }
     }
 
+    private CompletionStage<StoreResult> executeAtStore(String caller, StoreCommand command) {
+        CompletionStage<StoreResult> result = store.execute(caller, command);
+        if (!(command instanceof StoreCommand.ListItems list)
+                || !list.prefix().equals(EVACUATION_PREFIX)) {
+            return result;
+        }
+        return result.thenApply(
+                listed -> {
+                    boolean lags = random.nextInt(3) == 0 && listed instanceof StoreResult.Listed;
+                    StoreResult returned = lags ? earlierListing.orElse(listed) : listed;
+                    if (listed instanceof StoreResult.Listed) {
+                        earlierListing = Optional.of(listed);
+                    }
+                    return returned;
+                });
+    }
+
     private long latency() {
         boolean delayed = delaysMessages && random.nextInt(20) == 0;
         return LINK_LATENCY_MS + (delayed ? random.nextInt(3_000) : 0);
@@ -248,7 +288,7 @@
         return instances.stream().filter(Instance::isRunning).toList();
     }
 
-    private static RegistryLayout layout() {
+    private RegistryLayout layout() {
         return new RegistryLayout(
                 CONFIGURATION_KEY,
                 "servers/",
@@ -261,7 +301,8 @@
                                         IngressLimits.DEFAULT,
                                         Map.of(),
                                         false)),
-                SimulatedFleet::replica);
+                SimulatedFleet::replica,
+                evacuationMerge.map(merge -> EVACUATION_PREFIX));
     }
 
     private static Optional<Replica> replica(StoreChange.Written item) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/BatchingPieceExecutor.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/BatchingPieceExecutor.java
@@ -275,7 +275,10 @@
             return handleResults(spec, replica, pending, responded.results());
         }
         if (outcome instanceof ReplicaPieceClient.NotSent notSent) {
-            status.updateHealth(health -> health.afterConnectFailure(now));
+            // A replica that was closed meanwhile was not called, so it has not failed.
+            if (!statuses.isClosed(replica, now)) {
+                status.updateHealth(health -> health.afterConnectFailure(now));
+            }
             queuedPieces.addAll(pending);
             return notSent.reason();
         }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/ReplicaPieceClient.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/ReplicaPieceClient.java
@@ -99,6 +99,7 @@
                 codec.encodeExecute(batch.pieces(), now),
                 PieceCallTimeout.millis(spec, batch.pieces(), now),
                 MAX_RESPONSE_BYTES + MAX_RESULT_BYTES * batch.pieces().size(),
+                () -> !answerRecorder.statuses().isClosed(batch.replica(), clock.now()),
                 response -> {
                     outcome.set(readResponse(batch, response));
                     return outcome.get() instanceof Responded responded && responded.hasResult();
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/ForwardingInstance.java
@@ -112,7 +112,9 @@
         registry = new Registry(adapter.layout(), clock, MillisClock.wall(), events);
         Store store = metrics.countStoreCalls(adapter.storeFactory().apply(control.httpClient()));
         registrySync = closer.register(newRegistrySync(adapter, store));
-        ReplicaStatuses statuses = new ReplicaStatuses(settings.dataCentre());
+        ReplicaStatuses statuses =
+                new ReplicaStatuses(
+                        settings.dataCentre(), SendRules.of(settings, registry, metrics));
         ReplicaAnswerRecorder answerRecorder = new ReplicaAnswerRecorder(statuses, clock, events);
         LocalPieceExecutor localExecutor =
                 new LocalPieceExecutor(
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/AttemptOwner.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/AttemptOwner.java
@@ -33,6 +33,12 @@
     /** Records the time at which the first bytes are passed to the client. */
     void firstBytesReceived();
 
+    /**
+     * Handles the end of an attempt whose replica was closed before anything was sent to it. Does
+     * not count as a failed attempt.
+     */
+    void attemptWithdrawn(Replica replica);
+
     /** Handles the end of an attempt for which no response to the client has started. */
     void attemptFinished(
             Replica replica, AttemptResult result, BufferedResponse response, String reason);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaAttempt.java
@@ -92,18 +92,32 @@
             }
             return;
         }
+        long now = context.clock().now();
+        if (context.statuses().isClosed(replica, now)) {
+            withdraw(acquiredConnection);
+            return;
+        }
         if (acquiredConnection == null) {
-            long now = context.clock().now();
             replicaStatus.updateHealth(health -> health.afterConnectFailure(now));
             finish(AttemptResult.NOT_SENT, "no connection: " + reason);
             return;
         }
         connection = acquiredConnection;
-        sentAt = context.clock().now();
+        sentAt = now;
         owner.recordSend(connection);
         connection.send(head(), owner.request().body().retainedDuplicate(), this);
     }
 
+    /** Ends the attempt because the replica was closed while the connection was opened. */
+    private void withdraw(OutboundConnection unusedConnection) {
+        finished = true;
+        replicaStatus.requestFinished();
+        if (unusedConnection != null) {
+            unusedConnection.abort();
+        }
+        owner.attemptWithdrawn(replica);
+    }
+
     private HttpRequest head() {
         HttpRequest original = owner.request().head();
         HttpHeaders fields =
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaHandleReleaser.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaHandleReleaser.java
@@ -109,7 +109,9 @@
                                 Map.of(),
                                 codec.encodeRelease(handles),
                                 CALL_TIMEOUT_MS,
-                                MAX_RESPONSE_BYTES))
+                                MAX_RESPONSE_BYTES,
+                                () -> acceptsCalls.test(replica.get()),
+                                response -> true))
                 .thenAccept(response -> onReleased.accept(replica.get(), handles));
     }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/ForwardedRequest.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/ForwardedRequest.java
@@ -142,10 +142,7 @@
                                 admission.route(),
                                 request.metadata(),
                                 admission.priority(),
-                                replicaChoice
-                                        .select(inputBytes, usedIds)
-                                        .map(Replica::dataCentre)
-                                        .orElse(""),
+                                replicaChoice.dataCentre(inputBytes, usedIds),
                                 request.receivedAt() + admission.route().objectiveMillis(),
                                 deadlineMillis),
                         this::stagesCompleted,
@@ -187,8 +184,7 @@
             return;
         }
         usedIds.add(replica.get().id());
-        trace.recordReplica(
-                replica.get(), context.statuses().statusOf(replica.get()), context.clock().now());
+        trace.recordReplica(replica.get());
         currentAttempt = new ReplicaAttempt(context, worker, this, replica.get());
         currentAttempt.start();
     }
@@ -205,6 +201,12 @@
         unreleasedHandles = List.of();
     }
 
+    @Override
+    public void attemptWithdrawn(Replica replica) {
+        usedIds.remove(replica.id());
+        startAttempt();
+    }
+
     @Override
     public void attemptFinished(
             Replica replica, AttemptResult result, BufferedResponse response, String reason) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/ReplicaChoice.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/ReplicaChoice.java
@@ -35,6 +35,11 @@
                         candidates(), metadata.id(), excludedReplicas);
     }
 
+    /** Returns the data centre of the replica that would be selected, or an empty string. */
+    String dataCentre(Map<String, Long> inputBytes, Set<ReplicaId> excludedReplicas) {
+        return select(inputBytes, excludedReplicas).map(Replica::dataCentre).orElse("");
+    }
+
     /** Returns the time until a replica of the service accepts requests, 0 if not known. */
     long millisUntilPossible() {
         return context.statuses().millisUntilAvailable(replicas(), context.clock().now()).orElse(0);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/RequestAdmission.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/RequestAdmission.java
@@ -38,6 +38,10 @@
             return Either.left(
                     new Rejection(RejectionReason.HARMFUL_PROMPT, Optional.of(admitted), ""));
         }
+        if (context.lacksStageReplicas(admitted.route(), metadata)) {
+            return Either.left(
+                    new Rejection(RejectionReason.NO_REPLICA, Optional.of(admitted), ""));
+        }
         Optional<StageAdmission.Rejection> stages =
                 context.decideOnStages(
                         admitted.route(), metadata, admitted.timeoutMillis(metadata));
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/StageGraphExecution.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/StageGraphExecution.java
@@ -126,12 +126,21 @@
                 inputs.isEmpty() ? request.metadata().pieceKey().orElse("") : "",
                 inputs,
                 stage.resultBytes(),
-                inputs.isEmpty() ? request.dataCentre() : dataCentreWithMost(inputs),
+                preferredDataCentre(inputs),
                 request.deadlineMillis() - minLaterMillis(stage) - MIN_REQUEST_MS,
                 request.dueAtMillis() - typicalLaterMillis(stage) - typicalFirstByteMillis(),
                 request.priority());
     }
 
+    /**
+     * Returns the data centre in which a piece should be computed, or an empty string if there is
+     * none. The one that was chosen for the request may have been evacuated since.
+     */
+    private String preferredDataCentre(List<String> inputs) {
+        String preferred = inputs.isEmpty() ? request.dataCentre() : dataCentreWithMost(inputs);
+        return context.registry().evacuations().isEvacuated(preferred) ? "" : preferred;
+    }
+
     /** Returns the data centre that stores most of the results, or an empty string if unknown. */
     private String dataCentreWithMost(List<String> handles) {
         return context.locator().countByDataCentre(handles).entrySet().stream()
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ForwardingContext.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ForwardingContext.java
@@ -92,10 +92,26 @@
                         registry.configuration(),
                         route,
                         metadata,
-                        service -> registry.replicas().replicasOf(service).size(),
+                        this::openReplicas,
                         remainingMillis);
     }
 
+    /**
+     * Returns whether a stage that the request needs has no replica because data centres are
+     * evacuated or the replicas are gone. Deployments that evacuate nothing find this out at the
+     * stage itself.
+     */
+    public boolean lacksStageReplicas(Route route, RequestMetadata metadata) {
+        return settings.endpointRules().evacuatesDataCentres()
+                && route.stages().stream()
+                        .filter(stage -> metadata.pieceCount(stage.number()) > 0)
+                        .anyMatch(stage -> openReplicas(stage.service()) == 0);
+    }
+
+    private int openReplicas(String service) {
+        return statuses().countOpen(registry.replicas().replicasOf(service), clock.now());
+    }
+
     private boolean keysConfirmed(double share, long afterMillis) {
         long allowed = settings.maxRevokedKeyMillis();
         return allowed == 0 || registry.keysConfirmed((long) (allowed * share) - afterMillis);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/HttpCallClient.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/http/HttpCallClient.java
@@ -17,6 +17,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 import java.util.function.Predicate;
 
@@ -30,6 +31,7 @@
      * @param body body, empty for none
      * @param timeoutMillis time after which the call fails and its connection is closed
      * @param maxResponseBytes size of a response body beyond which the call fails
+     * @param maySend asked once the connection is open; if it returns false, nothing is sent
      * @param isOwnResponse returns whether a complete response certainly belongs to the call;
      *     otherwise the connection is not used again
      */
@@ -41,6 +43,7 @@
             byte[] body,
             long timeoutMillis,
             int maxResponseBytes,
+            BooleanSupplier maySend,
             Predicate<Response> isOwnResponse) {
 
         /** Creates a call to a server whose responses need no check. */
@@ -60,6 +63,7 @@
                     body,
                     timeoutMillis,
                     maxResponseBytes,
+                    () -> true,
                     response -> true);
         }
     }
@@ -101,6 +105,11 @@
                         result.complete(Either.left(new Failure(reason, false)));
                         return;
                     }
+                    if (!call.maySend().getAsBoolean()) {
+                        connection.abort();
+                        result.complete(Either.left(new Failure("withdrawn", false)));
+                        return;
+                    }
                     ResponseCollector collector = new ResponseCollector(connection, call, result);
                     collector.timeoutTimer =
                             loop.schedule(
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
@@ -3,13 +3,16 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.sequoiaspindle.core.protocol.relay.RelayedStore;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.protocol.store.StoreCommand;
@@ -78,6 +81,32 @@
                 .register(registry);
     }
 
+    /**
+     * Exposes the evacuated data centres. Their names come from the operator.
+     *
+     * @param since returns the time at which the instance learned of each evacuation, in
+     *     milliseconds of the wall clock
+     */
+    public void reportEvacuations(Supplier<Map<String, Long>> since) {
+        GaugeWithCallback.builder()
+                .name("sequoiaspindle_evacuated_data_centres")
+                .help("Number of data centres that are evacuated")
+                .callback(callback -> callback.call(since.get().size()))
+                .register(registry);
+        GaugeWithCallback.builder()
+                .name("sequoiaspindle_data_centre_evacuated_since_seconds")
+                .help("Time at which the instance learned of the evacuation, by data centre")
+                .labelNames("dataCentre")
+                .callback(
+                        callback ->
+                                since.get()
+                                        .forEach(
+                                                (name, millis) ->
+                                                        callback.call(
+                                                                millis / MILLIS_PER_SECOND, name)))
+                .register(registry);
+    }
+
     public void recordRequestStart() {
         inFlightRequests.inc();
     }
--- a/standins/src/main/java/org/sequoiaspindle/standins/protocol/RegistryFrontEnd.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/protocol/RegistryFrontEnd.java
@@ -21,6 +21,9 @@
 
     private static final int MAX_ITEMS_PER_PAGE = 500;
 
+    /** Prefix of the keys by which the operator evacuates data centres. */
+    private static final String EVACUATION_PREFIX = "op/evacuate/";
+
     private final RegistryStore store;
     private final AtomicBoolean down = new AtomicBoolean();
     private final AtomicInteger reads = new AtomicInteger();
@@ -39,6 +42,16 @@
         return reads.get();
     }
 
+    /** Evacuates a data centre, as the operator does. */
+    public void evacuate(String dataCentre) {
+        store.write(EVACUATION_PREFIX + dataCentre, ImmutableBytes.of("{}"), 0);
+    }
+
+    /** Restores an evacuated data centre. */
+    public void restore(String dataCentre) {
+        store.remove(EVACUATION_PREFIX + dataCentre);
+    }
+
     public HttpHandler handler() {
         HttpHandler routes =
                 new Router(
@@ -48,7 +61,9 @@
                                 exact("GET", "/api/kv-watch", this::watch),
                                 exact("POST", "/api/kv-txn", this::writeTransaction),
                                 exact("POST", "/api/kv-lease", this::createLease),
-                                underPath("POST", "/api/kv-keep/", this::renewLease)));
+                                underPath("POST", "/api/kv-keep/", this::renewLease),
+                                underPath("POST", "/admin/evacuate/", this::evacuate),
+                                underPath("POST", "/admin/restore/", this::restore)));
         return (request, responder) -> {
             if (request.method().equals("GET")) {
                 reads.incrementAndGet();
@@ -61,6 +76,16 @@
         };
     }
 
+    private void evacuate(String dataCentre, FullRequest request, HttpResponder responder) {
+        evacuate(dataCentre);
+        responder.send(FullResponse.json(200, Map.of("revision", store.revision())));
+    }
+
+    private void restore(String dataCentre, FullRequest request, HttpResponder responder) {
+        restore(dataCentre);
+        responder.send(FullResponse.json(200, Map.of("revision", store.revision())));
+    }
+
     private void read(FullRequest request, HttpResponder responder) {
         Optional<RegistryChange> item = store.read(request.query().get("key"));
         responder.send(
--- a/standins/src/main/java/org/sequoiaspindle/standins/transport/RegistryServer.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/RegistryServer.java
@@ -39,6 +39,16 @@
         store.remove(key);
     }
 
+    /** Evacuates a data centre, as the operator does. */
+    public void evacuate(String dataCentre) {
+        frontEnd.evacuate(dataCentre);
+    }
+
+    /** Restores an evacuated data centre. */
+    public void restore(String dataCentre) {
+        frontEnd.restore(dataCentre);
+    }
+
     /** Returns the number of keys with a prefix. */
     public int countKeys(String prefix) {
         return store.range(prefix, "").size();
