--- a/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/EvacuationSimulationTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/EvacuationSimulationTest.java
@@ -72,6 +72,22 @@
         assertFound(LISTINGS_ONLY);
     }
 
+    /** Guards against further calls of the store, each of which has a price. */
+    @Test
+    void evacuationsCostOneListingWithTheFullListingAndNothingElse() {
+        assertEquals(
+                callsOfOneInstance(Optional.empty()) + 1,
+                callsOfOneInstance(Optional.of(Evacuations::with)));
+    }
+
+    private static int callsOfOneInstance(Optional<EvacuationMerge> merge) {
+        SimulatedFleet fleet = new SimulatedFleet(new Random(1), 1, 1, merge);
+        fleet.store.write(SimulatedFleet.CONFIGURATION_KEY, "1");
+        fleet.instances.get(0).start();
+        fleet.time.advance(30_000);
+        return fleet.store.calls();
+    }
+
     private void assertFound(EvacuationMerge fault) {
         assertThrows(
                 AssertionError.class,
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/ForwardedRequest.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/ForwardedRequest.java
@@ -148,12 +148,7 @@
                         this::stagesCompleted,
                         this::rejectOrFail);
         // The stages would be wasted if the request could not be sent at their end.
-        Optional<RejectionReason> obstacle = findObstacle(stages.estimatedMillis());
-        if (obstacle.isPresent()) {
-            rejectOrFail(obstacle.get());
-        } else {
-            stages.start();
-        }
+        findObstacle(stages.estimatedMillis()).ifPresentOrElse(this::rejectOrFail, stages::start);
     }
 
     private Optional<RejectionReason> findObstacle(long millisUntilSend) {
@@ -203,6 +198,7 @@
 
     @Override
     public void attemptWithdrawn(Replica replica) {
+        trace.recordFailedAttempt(replica, AttemptResult.NOT_SENT, "data centre closed");
         usedIds.remove(replica.id());
         startAttempt();
     }
