--- a/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
+++ b/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
@@ -47,6 +47,8 @@
     CRASH_EVIDENCE_NOT_SHARED(609, Level.WARN, "evidence of a crash could not be shared"),
     ENDPOINT_ANNOUNCED_LEAVING(610, Level.INFO, "endpoint announced its shutdown in an answer"),
     ENDPOINT_PAUSED(611, Level.INFO, "endpoint asked for no requests for some time"),
+    DATA_CENTRE_EVACUATED(612, Level.WARN, "data centre evacuated"),
+    DATA_CENTRE_RESTORED(613, Level.INFO, "data centre restored"),
     ENDPOINT_SLOWED(630, Level.INFO, "endpoint carries less than half of its usual rate"),
     ENDPOINT_PACE_RESTORED(631, Level.INFO, "endpoint carries its usual rate again");
 
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/BatchingPieceExecutor.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/BatchingPieceExecutor.java
@@ -200,10 +200,9 @@
                         candidate -> {
                             Replica replica = candidate.replica();
                             boolean busy = busyUntil.getOrDefault(replica.id(), now) > now;
-                            int calls = statuses.statusOf(replica).inFlight();
                             return new Candidate(
                                     replica,
-                                    busy ? spec.slots() : calls,
+                                    busy ? spec.slots() : statuses.statusOf(replica).inFlight(),
                                     candidate.ejected(),
                                     candidate.local(),
                                     candidate.capacity());
@@ -281,7 +280,10 @@
             return handleResults(spec, replica, pending, responded.results());
         }
         if (outcome instanceof ReplicaPieceClient.NotSent notSent) {
-            status.updateHealth(health -> health.afterConnectFailure(now));
+            // A replica that was closed meanwhile was not called, so it has not failed.
+            if (!statuses.isClosed(replica, now)) {
+                status.updateHealth(health -> health.afterConnectFailure(now));
+            }
             queuedPieces.addAll(pending);
             return notSent.reason();
         }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/ForwardingInstance.java
@@ -117,7 +117,9 @@
         registrySync = closer.register(newRegistrySync(adapter, store));
         paceMonitor = new PaceMonitor(settings, this::statusOf, metrics, events);
         ReplicaStatuses statuses =
-                new ReplicaStatuses(settings.dataCentre(), paceMonitor.sendRule());
+                new ReplicaStatuses(
+                        settings.dataCentre(),
+                        SendRules.of(settings, registry, metrics).and(paceMonitor.sendRule()));
         ReplicaAnswerRecorder answerRecorder = paceMonitor.answerRecorder(statuses, clock);
         LocalPieceExecutor localExecutor =
                 new LocalPieceExecutor(
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaAttempt.java
@@ -2,13 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -16,9 +12,7 @@
 import org.sequoiaspindle.core.coordination.forwarding.connection.ConnectionState.Decision;
 import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaStatus;
 import org.sequoiaspindle.core.protocol.forwarding.EventStreamPosition;
-import org.sequoiaspindle.core.protocol.forwarding.ReplicaRequestContext;
 import org.sequoiaspindle.core.protocol.forwarding.ReplicaResponseHead;
-import org.sequoiaspindle.core.state.forwarding.ApiKeyOwner;
 import org.sequoiaspindle.core.state.forwarding.PromptPart;
 import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.core.state.forwarding.RequestKind;
@@ -48,8 +42,6 @@
      */
     public static final long MAX_TOTAL_BUFFERED_BYTES = 16L * 1024 * 1024;
 
-    private static final int MAX_URGENCY = 9;
-
     private final ForwardingContext context;
     private final EventLoopWorker worker;
     private final AttemptOwner owner;
@@ -94,44 +86,35 @@
             }
             return;
         }
+        long now = context.clock().now();
+        if (context.statuses().isClosed(replica, now)) {
+            withdraw(acquiredConnection);
+            return;
+        }
         if (acquiredConnection == null) {
-            long now = context.clock().now();
             replicaStatus.updateHealth(health -> health.afterConnectFailure(now));
             pace.failed();
             finish(AttemptResult.NOT_SENT, "no connection: " + reason);
             return;
         }
         connection = acquiredConnection;
-        sentAt = context.clock().now();
+        sentAt = now;
         pace.sent();
         owner.recordSend(connection);
-        connection.send(head(), owner.request().body().retainedDuplicate(), this);
+        connection.send(
+                ReplicaRequestHead.of(context, owner, replica),
+                owner.request().body().retainedDuplicate(),
+                this);
     }
 
-    private HttpRequest head() {
-        HttpRequest original = owner.request().head();
-        HttpHeaders fields =
-                HeaderFilter.copyEndToEnd(original.headers(), context.dialect().reservedFields());
-        int length = owner.request().body().readableBytes();
-        if (length > 0 || original.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
-            fields.set(HttpHeaderNames.CONTENT_LENGTH, length);
+    /** Ends the attempt because the replica was closed while the connection was opened. */
+    private void withdraw(OutboundConnection unusedConnection) {
+        finished = true;
+        replicaStatus.requestFinished();
+        if (unusedConnection != null) {
+            unusedConnection.abort();
         }
-        context.dialect().replicaRequestWriter().write(replicaRequestContext(), fields::set);
-        return new DefaultHttpRequest(
-                HttpVersion.HTTP_1_1, original.method(), original.uri(), fields);
-    }
-
-    private ReplicaRequestContext replicaRequestContext() {
-        boolean isGeneration = owner.admission().route().sticky();
-        return new ReplicaRequestContext(
-                replica,
-                Math.max(1, owner.millisLeft()),
-                owner.admission().keyOwner().map(ApiKeyOwner::organisation),
-                isGeneration
-                        ? Optional.of(Math.min(MAX_URGENCY, owner.admission().priority()))
-                        : Optional.empty(),
-                owner.inputHandles(),
-                Optional.empty());
+        owner.attemptWithdrawn(replica);
     }
 
     public boolean isSent() {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/ForwardedRequest.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/ForwardedRequest.java
@@ -142,21 +142,13 @@
                                 admission.route(),
                                 request.metadata(),
                                 admission.priority(),
-                                replicaChoice
-                                        .select(inputBytes, usedIds)
-                                        .map(Replica::dataCentre)
-                                        .orElse(""),
+                                replicaChoice.dataCentre(inputBytes, usedIds),
                                 request.receivedAt() + admission.route().objectiveMillis(),
                                 deadlineMillis),
                         this::stagesCompleted,
                         this::rejectOrFail);
         // The stages would be wasted if the request could not be sent at their end.
-        Optional<RejectionReason> obstacle = findObstacle(stages.estimatedMillis());
-        if (obstacle.isPresent()) {
-            rejectOrFail(obstacle.get());
-        } else {
-            stages.start();
-        }
+        findObstacle(stages.estimatedMillis()).ifPresentOrElse(this::rejectOrFail, stages::start);
     }
 
     private Optional<RejectionReason> findObstacle(long millisUntilSend) {
@@ -187,8 +179,7 @@
             return;
         }
         usedIds.add(replica.get().id());
-        trace.recordReplica(
-                replica.get(), context.statuses().statusOf(replica.get()), context.clock().now());
+        trace.recordReplica(replica.get());
         currentAttempt = new ReplicaAttempt(context, worker, this, replica.get());
         currentAttempt.start();
     }
@@ -205,6 +196,13 @@
         unreleasedHandles = List.of();
     }
 
+    @Override
+    public void attemptWithdrawn(Replica replica) {
+        trace.recordFailedAttempt(replica, AttemptResult.NOT_SENT, "data centre closed");
+        usedIds.remove(replica.id());
+        startAttempt();
+    }
+
     @Override
     public void attemptFinished(
             Replica replica, AttemptResult result, BufferedResponse response, String reason) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
@@ -11,6 +11,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.sequoiaspindle.core.protocol.relay.RelayedStore;
@@ -107,6 +108,32 @@
                 .register(registry);
     }
 
+    /**
+     * Exposes the evacuated data centres. Their names come from the operator.
+     *
+     * @param since returns the time at which the instance learned of each evacuation, in
+     *     milliseconds of the wall clock
+     */
+    public void reportEvacuations(Supplier<Map<String, Long>> since) {
+        GaugeWithCallback.builder()
+                .name("sequoiaspindle_evacuated_data_centres")
+                .help("Number of data centres that are evacuated")
+                .callback(callback -> callback.call(since.get().size()))
+                .register(registry);
+        GaugeWithCallback.builder()
+                .name("sequoiaspindle_data_centre_evacuated_since_seconds")
+                .help("Time at which the instance learned of the evacuation, by data centre")
+                .labelNames("dataCentre")
+                .callback(
+                        callback ->
+                                since.get()
+                                        .forEach(
+                                                (name, millis) ->
+                                                        callback.call(
+                                                                millis / MILLIS_PER_SECOND, name)))
+                .register(registry);
+    }
+
     public void recordRequestStart() {
         inFlightRequests.inc();
     }
