Limit what cold endpoints receive by permits of one issuer

Cause: a cold endpoint crashes if all instances together send it more than its service tolerates, and no instance knows how many others send. Requests pass over replicas without a permit; stages treat them as closed. An endpoint counts as cold from when an instance first sees it, while it says so in registrations or answers, and after its data centre is restored. InstanceRegistration tells the lease, RegistryWatcher keeps copies of further prefixes, unknown piece messages are ignored.

--- a/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
+++ b/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
@@ -46,7 +46,12 @@
     PROMPT_PART_CLEARED(608, Level.INFO, "prompt part answered; evidence withdrawn"),
     CRASH_EVIDENCE_NOT_SHARED(609, Level.WARN, "evidence of a crash could not be shared"),
     ENDPOINT_ANNOUNCED_LEAVING(610, Level.INFO, "endpoint announced its shutdown in an answer"),
-    ENDPOINT_PAUSED(611, Level.INFO, "endpoint asked for no requests for some time");
+    ENDPOINT_PAUSED(611, Level.INFO, "endpoint asked for no requests for some time"),
+    ENDPOINT_COLD(620, Level.INFO, "endpoint is cold"),
+    ISSUER_ROLE_TAKEN(621, Level.INFO, "instance issues the permits for a cold endpoint"),
+    ISSUER_ROLE_LOST(622, Level.INFO, "instance no longer issues the permits for an endpoint"),
+    ISSUER_CLAIM_FAILED(623, Level.WARN, "role of the issuer could not be claimed"),
+    COLD_RATE_LOWERED(624, Level.WARN, "permits are issued below the rate of the service");
 
     /** Severity of an event. */
     public enum Level {
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatuses.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatuses.java
@@ -59,6 +59,18 @@
         return replicas.stream().filter(replica -> !isClosed(replica, now)).toList();
     }
 
+    /** Returns the replicas that have not announced their shutdown and need no permits. */
+    public List<Replica> withoutRestricted(List<Replica> replicas, long now) {
+        return withoutClosed(replicas, now).stream()
+                .filter(replica -> !termsFor(replica, now).needsPermit())
+                .toList();
+    }
+
+    /** Returns whether a replica accepts requests that have no permit. */
+    public boolean acceptsWithoutPermit(Replica replica, long now) {
+        return acceptsRequests(replica, now) && !termsFor(replica, now).needsPermit();
+    }
+
     private boolean isClosed(Replica replica, long now) {
         return statusOf(replica).availability().isLeaving() || termsFor(replica, now).isClosed();
     }
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/InstanceRegistration.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/InstanceRegistration.java
@@ -1,9 +1,14 @@
 package org.sequoiaspindle.core.protocol.forwarding;
 
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 import org.sequoiaspindle.core.common.Invariants;
 import org.sequoiaspindle.core.common.Timer;
+import org.sequoiaspindle.core.coordination.forwarding.permit.ClockReading;
+import org.sequoiaspindle.core.coordination.forwarding.permit.LeaseHold;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.protocol.store.StoreCommand;
 import org.sequoiaspindle.core.protocol.store.StoreResult;
@@ -25,6 +30,9 @@
     private final InstanceEntry instance;
     private final long ttlMillis;
     private final Timer timer;
+    private final Supplier<ClockReading> clocks;
+    private final AtomicReference<Optional<LeaseHold>> hold =
+            new AtomicReference<>(Optional.empty());
     private final AtomicBoolean stopped = new AtomicBoolean();
 
     /** Version of the entry as last written by this instance. */
@@ -35,11 +43,22 @@
      *
      * @param ttlMillis time after which the entry of a stopped instance is removed
      */
-    public InstanceRegistration(Store store, InstanceEntry instance, long ttlMillis, Timer timer) {
+    public InstanceRegistration(
+            Store store,
+            InstanceEntry instance,
+            long ttlMillis,
+            Timer timer,
+            Supplier<ClockReading> clocks) {
         this.store = store;
         this.instance = instance;
         this.ttlMillis = ttlMillis;
         this.timer = timer;
+        this.clocks = clocks;
+    }
+
+    /** Returns the lease with its last confirmed renewal, empty if there is none. Thread-safe. */
+    public Optional<LeaseHold> lease() {
+        return hold.get();
     }
 
     /** Registers the instance and keeps renewing the lease; returns immediately. */
@@ -47,9 +66,11 @@
         if (stopped.get()) {
             return;
         }
+        hold.set(Optional.empty());
+        ClockReading sentAt = clocks.get();
         Invariants.reportFailure(
                 store.execute(new StoreCommand.CreateLease(ttlMillis))
-                        .thenAccept(this::leaseCreated));
+                        .thenAccept(result -> leaseCreated(result, sentAt)));
     }
 
     /** Removes the entry, so that other instances stop using this instance before it shuts down. */
@@ -70,8 +91,9 @@
         stopped.set(true);
     }
 
-    private void leaseCreated(StoreResult result) {
+    private void leaseCreated(StoreResult result, ClockReading sentAt) {
         if (result instanceof StoreResult.LeaseCreated leaseCreated) {
+            hold.set(Optional.of(new LeaseHold(leaseCreated.lease(), sentAt, ttlMillis)));
             writeEntry(leaseCreated.lease(), StoreCommand.ABSENT);
         } else {
             timer.schedule(RETRY_MS, this::register);
@@ -109,6 +131,7 @@
         if (stopped.get()) {
             return;
         }
+        ClockReading sentAt = clocks.get();
         Invariants.reportFailure(
                 store.execute(new StoreCommand.RenewLease(lease))
                         .thenAccept(
@@ -116,6 +139,12 @@
                                     if (result instanceof StoreResult.LeaseLost) {
                                         register();
                                     } else {
+                                        if (result instanceof StoreResult.LeaseRenewed) {
+                                            hold.set(
+                                                    Optional.of(
+                                                            new LeaseHold(
+                                                                    lease, sentAt, ttlMillis)));
+                                        }
                                         scheduleRenewal(lease);
                                     }
                                 }));
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/PieceMessageCodec.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/PieceMessageCodec.java
@@ -32,6 +32,17 @@
         } else if (message instanceof PieceMessage.Release release) {
             tree.put(TYPE, "release");
             tree.put("handles", release.handles());
+        } else if (message instanceof PieceMessage.PermitRequest request) {
+            tree.put(TYPE, "permit");
+            tree.put(NUMBER, request.number());
+            tree.put("replica", request.replica());
+        } else if (message instanceof PieceMessage.PermitAnswer answer) {
+            tree.put(TYPE, "permitted");
+            tree.put(NUMBER, answer.number());
+            tree.put("granted", answer.reply().granted() ? 1L : 0L);
+            tree.put("wait", answer.reply().waitMillis());
+        } else if (message instanceof PieceMessage.Unknown unknown) {
+            tree.put(TYPE, unknown.type());
         } else {
             tree.put(TYPE, message instanceof PieceMessage.Ping ? "ping" : "pong");
         }
@@ -64,7 +75,17 @@
                         case "release" -> new PieceMessage.Release(strings(fields, "handles"));
                         case "ping" -> new PieceMessage.Ping();
                         case "pong" -> new PieceMessage.Pong();
-                        default -> throw new IllegalArgumentException("unknown type");
+                        case "permit" ->
+                                new PieceMessage.PermitRequest(
+                                        TreeFields.number(fields, NUMBER),
+                                        TreeFields.string(fields, "replica"));
+                        case "permitted" ->
+                                new PieceMessage.PermitAnswer(
+                                        TreeFields.number(fields, NUMBER),
+                                        new PermitReply(
+                                                TreeFields.number(fields, "granted") == 1,
+                                                TreeFields.number(fields, "wait")));
+                        default -> new PieceMessage.Unknown(TreeFields.string(fields, TYPE));
                     });
         } catch (IllegalArgumentException e) {
             return Either.left(e.getMessage());
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryLayout.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryLayout.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Either;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 import org.sequoiaspindle.core.protocol.store.StoreChange;
 import org.sequoiaspindle.core.protocol.store.StoreValue;
@@ -21,4 +22,22 @@
         String configurationKey,
         String replicaPrefix,
         Function<StoreValue, Either<String, ForwardingTable>> configurationDecoder,
-        Function<StoreChange.Written, Optional<Replica>> replicaDecoder) {}
+        Function<StoreChange.Written, Optional<Replica>> replicaDecoder) {
+
+    /**
+     * Returns a layout that reports each registration when it is read.
+     *
+     * @param observer receives the replica and the revision of the registration
+     */
+    public RegistryLayout observedBy(BiConsumer<Replica, Long> observer) {
+        return new RegistryLayout(
+                configurationKey,
+                replicaPrefix,
+                configurationDecoder,
+                written -> {
+                    Optional<Replica> replica = replicaDecoder.apply(written);
+                    replica.ifPresent(value -> observer.accept(value, written.revision()));
+                    return replica;
+                });
+    }
+}
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcher.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/RegistryWatcher.java
@@ -1,6 +1,7 @@
 package org.sequoiaspindle.core.protocol.forwarding;
 
 import io.vavr.collection.Vector;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
@@ -52,6 +53,7 @@
     private final RegistryLayout layout;
     private final Registry registry;
     private final Timer timer;
+    private final List<PrefixView> views;
     private final AtomicBoolean closed = new AtomicBoolean();
 
     /** Sequence number of the current listing; results of earlier listings are ignored. */
@@ -61,6 +63,21 @@
     private final AtomicLong watchedRevision = new AtomicLong(Long.MAX_VALUE);
 
     public RegistryWatcher(Store store, RegistryLayout layout, Registry registry, Timer timer) {
+        this(store, layout, registry, timer, List.of());
+    }
+
+    /**
+     * Creates a watcher.
+     *
+     * @param views copies of further keys that are kept up to date; each costs one listing
+     */
+    public RegistryWatcher(
+            Store store,
+            RegistryLayout layout,
+            Registry registry,
+            Timer timer,
+            List<PrefixView> views) {
+        this.views = List.copyOf(views);
         this.store = store;
         this.layout = layout;
         this.registry = registry;
@@ -180,11 +197,32 @@
                 new Listing(number, CrashEvidenceKeys.PREFIX, Vector.empty(), revision),
                 crashes -> {
                     registry.replaceCrashes(crashes.items().asJava());
-                    watchedRevision.set(crashes.revision());
-                    watch(number);
+                    listViews(number, crashes.revision(), views);
+                });
+    }
+
+    private void listViews(long number, long revision, List<PrefixView> remaining) {
+        if (remaining.isEmpty()) {
+            watchedRevision.set(revision);
+            watch(number);
+            return;
+        }
+        PrefixView view = remaining.get(0);
+        list(
+                new Listing(number, view.prefix(), Vector.empty(), revision),
+                listing -> {
+                    view.replaceAll(listing.items().asJava(), listing.revision());
+                    listViews(number, listing.revision(), remaining.subList(1, remaining.size()));
                 });
     }
 
+    private void applyChange(StoreChange change) {
+        registry.applyChange(change);
+        views.stream()
+                .filter(view -> change.key().startsWith(view.prefix()))
+                .forEach(view -> view.apply(change));
+    }
+
     /**
      * Pages of a listing read so far.
      *
@@ -256,7 +294,7 @@
         }
         if (result instanceof StoreResult.Changed changed) {
             recordStoreReachable();
-            changed.changes().forEach(registry::applyChange);
+            changed.changes().forEach(this::applyChange);
             watchedRevision.accumulateAndGet(changed.revision(), Math::max);
             watch(number);
         } else if (result instanceof StoreResult.HistoryLost) {
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/ReplicaResponseHead.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/ReplicaResponseHead.java
@@ -17,6 +17,7 @@
  * @param leaving whether the replica announces its shutdown
  * @param retryAfterMillis time for which the replica asks not to receive requests, empty if it does
  *     not state any
+ * @param coldMillis time for which the replica states that it stays cold, 0 if it states none
  */
 public record ReplicaResponseHead(
         int status,
@@ -26,7 +27,30 @@
         Optional<ReplicaLoad> load,
         boolean contentEncoded,
         boolean leaving,
-        OptionalLong retryAfterMillis) {
+        OptionalLong retryAfterMillis,
+        long coldMillis) {
+
+    /** Creates the head of a response in which the replica does not state that it is cold. */
+    public ReplicaResponseHead(
+            int status,
+            Optional<String> requestId,
+            boolean sealed,
+            boolean notExecuted,
+            Optional<ReplicaLoad> load,
+            boolean contentEncoded,
+            boolean leaving,
+            OptionalLong retryAfterMillis) {
+        this(
+                status,
+                requestId,
+                sealed,
+                notExecuted,
+                load,
+                contentEncoded,
+                leaving,
+                retryAfterMillis,
+                0);
+    }
 
     private static final int SUCCESS = 200;
     private static final int REDIRECTION = 300;
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/PieceMessageCodecTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/PieceMessageCodecTest.java
@@ -27,6 +27,9 @@
                         new PieceMessage.Reply(
                                 8, new PieceResult.NotCompleted(PieceResult.Reason.NO_ROOM)),
                         new PieceMessage.Release(List.of("h1")),
+                        new PieceMessage.PermitRequest(9, "e@1"),
+                        new PieceMessage.PermitAnswer(9, new PermitReply(true, 91)),
+                        new PieceMessage.Unknown("later"),
                         new PieceMessage.Ping(),
                         new PieceMessage.Pong());
         for (PieceMessage message : messages) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/BatchingPieceExecutor.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/BatchingPieceExecutor.java
@@ -132,7 +132,7 @@
         Optional<BatchSpec> spec =
                 registry.configuration().service(service).flatMap(ServiceSpec::batch);
         List<Replica> replicas =
-                statuses.withoutClosed(registry.replicas().replicasOf(service), clock.now());
+                statuses.withoutRestricted(registry.replicas().replicasOf(service), clock.now());
         if (spec.isEmpty() || replicas.isEmpty()) {
             queuedPieces.failAll(PieceResult.Reason.NO_REPLICA);
             return;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/PieceListener.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/PieceListener.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.sequoiaspindle.core.common.MillisClock;
+import org.sequoiaspindle.core.protocol.forwarding.PermitIssuer;
 import org.sequoiaspindle.core.protocol.forwarding.PieceExecutor;
 import org.sequoiaspindle.core.protocol.forwarding.PieceMessage;
 import org.sequoiaspindle.core.protocol.forwarding.PieceResult;
@@ -17,14 +18,20 @@
 
     private final PieceExecutor localExecutor;
     private final HandleReleaser releaser;
+    private final PermitIssuer permitIssuer;
     private final MillisClock clock;
 
     /** Numbers of the pending requests, by connection. */
     private final Map<Channel, Set<Long>> pendingNumbersByConnection = new ConcurrentHashMap<>();
 
-    public PieceListener(PieceExecutor localExecutor, HandleReleaser releaser, MillisClock clock) {
+    public PieceListener(
+            PieceExecutor localExecutor,
+            HandleReleaser releaser,
+            PermitIssuer permitIssuer,
+            MillisClock clock) {
         this.localExecutor = localExecutor;
         this.releaser = releaser;
+        this.permitIssuer = permitIssuer;
         this.clock = clock;
     }
 
@@ -48,6 +55,11 @@
             pendingNumbers.remove(cancel.number());
         } else if (message instanceof PieceMessage.Release release) {
             releaser.release(release.handles());
+        } else if (message instanceof PieceMessage.PermitRequest request) {
+            PieceFrames.send(
+                    channel,
+                    new PieceMessage.PermitAnswer(
+                            request.number(), permitIssuer.issue(request.replica())));
         } else if (message instanceof PieceMessage.Request request) {
             long number = request.number();
             pendingNumbers.add(number);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/ForwardingInstance.java
@@ -36,6 +36,7 @@
 import org.sequoiaspindle.daemon.state.ForwardingSettings;
 import org.sequoiaspindle.daemon.transport.forwarding.client.ClientConnection;
 import org.sequoiaspindle.daemon.transport.forwarding.client.ClientConnections;
+import org.sequoiaspindle.daemon.transport.forwarding.permit.ColdEndpointParts;
 import org.sequoiaspindle.daemon.transport.forwarding.piece.BatchingPieceExecutor;
 import org.sequoiaspindle.daemon.transport.forwarding.piece.DistributedPieceExecutor;
 import org.sequoiaspindle.daemon.transport.forwarding.piece.LocalPieceExecutor;
@@ -109,11 +110,22 @@
         strayAnswers = new StrayAnswerLog(adapter.dialect().responseReader(), metrics, events);
         loops.forEach(loop -> workers.put(loop, newWorker((EventLoop) loop)));
         control = workers.get(loops.next());
-        registry = new Registry(adapter.layout(), clock, MillisClock.wall(), events);
         Store store = metrics.countStoreCalls(adapter.storeFactory().apply(control.httpClient()));
-        registrySync = closer.register(newRegistrySync(adapter, store));
-        ReplicaStatuses statuses = new ReplicaStatuses(settings.dataCentre());
-        ReplicaAnswerRecorder answerRecorder = new ReplicaAnswerRecorder(statuses, clock, events);
+        registrySync =
+                closer.register(
+                        new RegistrySync(
+                                settings,
+                                store,
+                                adapter.layout(),
+                                control,
+                                clock,
+                                metrics,
+                                events));
+        registry = registrySync.registry();
+        ColdEndpointParts coldParts = registrySync.coldParts();
+        ReplicaStatuses statuses = new ReplicaStatuses(settings.dataCentre(), coldParts.sendRule());
+        ReplicaAnswerRecorder answerRecorder =
+                new ReplicaAnswerRecorder(statuses, coldParts.statements(), clock, events);
         LocalPieceExecutor localExecutor =
                 new LocalPieceExecutor(
                         service -> newBatchingExecutor(service, answerRecorder, adapter));
@@ -122,19 +134,10 @@
                         control,
                         adapter.stages(),
                         registry,
-                        replica -> statuses.acceptsRequests(replica, clock.now()),
+                        replica -> statuses.acceptsWithoutPermit(replica, clock.now()),
                         localExecutor::resultsReleased);
-        pieceListener = new PieceListener(localExecutor, releaser, clock);
-        DistributedPieceExecutor pieceExecutor =
-                new DistributedPieceExecutor(
-                        settings.instance(),
-                        control,
-                        registry,
-                        localExecutor,
-                        releaser,
-                        new ResultLocator(adapter.stages(), registry),
-                        clock,
-                        events);
+        pieceListener = new PieceListener(localExecutor, releaser, coldParts.issuer(), clock);
+        DistributedPieceExecutor pieceExecutor = newPieceExecutor(adapter, localExecutor, releaser);
         context = newContext(adapter, answerRecorder, pieceExecutor, newCrashReporter(store));
     }
 
@@ -265,19 +268,6 @@
         return new HostPort(bound.getAddress().getHostAddress(), bound.getPort());
     }
 
-    private RegistrySync newRegistrySync(Adapter adapter, Store store) {
-        return new RegistrySync(
-                settings,
-                store,
-                adapter.layout(),
-                registry,
-                control.loop(),
-                control.timer(),
-                clock,
-                metrics,
-                events);
-    }
-
     private EventLoopWorker newWorker(EventLoop loop) {
         ConnectionPool pool =
                 new ConnectionPool(
@@ -308,6 +298,7 @@
                 pieceExecutor,
                 pieceExecutor,
                 crashReporter,
+                registrySync.coldParts().permits(),
                 new ResultLocator(adapter.stages(), registry),
                 new MemoryBudget(ReplicaAttempt.MAX_TOTAL_BUFFERED_BYTES),
                 metrics,
@@ -315,6 +306,19 @@
                 events);
     }
 
+    private DistributedPieceExecutor newPieceExecutor(
+            Adapter adapter, LocalPieceExecutor localExecutor, ReplicaHandleReleaser releaser) {
+        return new DistributedPieceExecutor(
+                settings.instance(),
+                control,
+                registry,
+                localExecutor,
+                releaser,
+                new ResultLocator(adapter.stages(), registry),
+                clock,
+                events);
+    }
+
     private CrashReporter newCrashReporter(Store store) {
         return new CrashReporter(
                 registry, store, new ReplicaConnectionCheck(control), control.timer(), events);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/RegistrySync.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/RegistrySync.java
@@ -2,10 +2,13 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
+import java.util.Optional;
 import org.sequoiaspindle.core.common.Closer;
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.common.Timer;
+import org.sequoiaspindle.core.coordination.forwarding.permit.LeaseHold;
+import org.sequoiaspindle.core.protocol.forwarding.ColdEndpointTracker;
 import org.sequoiaspindle.core.protocol.forwarding.InstanceRegistration;
 import org.sequoiaspindle.core.protocol.forwarding.Registry;
 import org.sequoiaspindle.core.protocol.forwarding.RegistryLayout;
@@ -13,8 +16,13 @@
 import org.sequoiaspindle.core.protocol.relay.RelayedStore;
 import org.sequoiaspindle.core.protocol.relay.SharedStore;
 import org.sequoiaspindle.core.protocol.store.Store;
+import org.sequoiaspindle.core.state.forwarding.ColdSpec;
 import org.sequoiaspindle.core.state.forwarding.InstanceEntry;
+import org.sequoiaspindle.core.state.forwarding.ServiceSpec;
 import org.sequoiaspindle.daemon.state.ForwardingSettings;
+import org.sequoiaspindle.daemon.transport.forwarding.permit.ColdEndpointGuard;
+import org.sequoiaspindle.daemon.transport.forwarding.permit.ColdEndpointParts;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.EventLoopWorker;
 import org.sequoiaspindle.daemon.transport.relay.RelayLinks;
 import org.sequoiaspindle.daemon.transport.relay.RelayListener;
 import org.sequoiaspindle.daemon.transport.telemetry.ForwardingMetrics;
@@ -31,31 +39,57 @@
     private final EventLoop loop;
     private final Timer timer;
     private final Store store;
+    private final MillisClock clock;
     private final RelayListener relayListener;
+    private final Registry registry;
+    private final ColdEndpointParts coldParts;
     private final RegistryWatcher watcher;
     private final Closer closer = new Closer();
-    private InstanceRegistration registration;
+    private volatile InstanceRegistration registration;
 
     /**
      * Creates the parts without starting them.
      *
      * @param store client of the platform's store
-     * @param loop event loop to which all parts are confined
+     * @param worker event loop to which all parts are confined
      */
     RegistrySync(
             ForwardingSettings settings,
             Store store,
             RegistryLayout layout,
-            Registry registry,
-            EventLoop loop,
-            Timer timer,
+            EventLoopWorker worker,
             MillisClock clock,
             ForwardingMetrics metrics,
             EventLog events) {
         this.settings = settings;
-        this.loop = loop;
-        this.timer = timer;
+        loop = worker.loop();
+        timer = worker.timer();
         this.store = store;
+        this.clock = clock;
+        ColdEndpointTracker tracker = new ColdEndpointTracker(this::coldSpec, clock, events);
+        RegistryLayout observedLayout = layout.observedBy(tracker::registrationRead);
+        boolean limitsCold = settings.endpointRules().coldRate().isPresent();
+        registry =
+                new Registry(
+                        limitsCold ? observedLayout : layout, clock, MillisClock.wall(), events);
+        coldParts =
+                settings.endpointRules()
+                        .coldRate()
+                        .map(
+                                limit ->
+                                        new ColdEndpointGuard(
+                                                        settings,
+                                                        limit,
+                                                        tracker,
+                                                        registry,
+                                                        store,
+                                                        this::lease,
+                                                        worker,
+                                                        clock,
+                                                        metrics,
+                                                        events)
+                                                .parts())
+                        .orElse(ColdEndpointParts.NONE);
         SharedStore sharedStore = new SharedStore(store, layout.configurationKey(), clock, timer);
         relayListener = new RelayListener(sharedStore, loop);
         RelayedStore relayedStore =
@@ -66,7 +100,10 @@
                         sharedStore,
                         clock,
                         events);
-        watcher = closer.register(new RegistryWatcher(relayedStore, layout, registry, timer));
+        watcher =
+                closer.register(
+                        new RegistryWatcher(
+                                relayedStore, layout, registry, timer, coldParts.views()));
     }
 
     /** Installs the handler of a connection from an instance that reads through this one. */
@@ -83,13 +120,40 @@
     void register(InstanceEntry self) {
         registration =
                 closer.register(
-                        new InstanceRegistration(store, self, settings.leaseMillis(), timer));
+                        new InstanceRegistration(
+                                store,
+                                self,
+                                settings.leaseMillis(),
+                                timer,
+                                ColdEndpointGuard.clocks(clock)));
         registration.register();
+        coldParts.start().run();
+    }
+
+    /** Returns the local copy of the store's data. */
+    Registry registry() {
+        return registry;
+    }
+
+    /** Returns the connections of the limit for cold replicas with the other components. */
+    ColdEndpointParts coldParts() {
+        return coldParts;
+    }
+
+    private Optional<ColdSpec> coldSpec(String service) {
+        return registry.configuration().service(service).flatMap(ServiceSpec::cold);
+    }
+
+    /** Returns the lease of the registration, empty if there is none. Thread-safe. */
+    private Optional<LeaseHold> lease() {
+        InstanceRegistration current = registration;
+        return current == null ? Optional.empty() : current.lease();
     }
 
     /** Removes the registration, so that other instances stop using this instance. */
     void deregister() {
         registration.deregister();
+        coldParts.release().run();
     }
 
     @Override
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/AttemptOwner.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/AttemptOwner.java
@@ -27,6 +27,12 @@
     /** Counts an attempt whose request is about to be sent on the connection. */
     void recordSend(OutboundConnection connection);
 
+    /**
+     * Handles the end of an attempt whose request was not sent, because the replica may not be sent
+     * it any more.
+     */
+    void sendNotAllowed(Replica replica);
+
     /** Releases the stage results, which the request does not need any more. */
     void releaseInputs();
 
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaAttempt.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.sequoiaspindle.core.coordination.forwarding.admission.AttemptResult;
 import org.sequoiaspindle.core.coordination.forwarding.connection.ConnectionState.Decision;
 import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaStatus;
@@ -54,6 +55,7 @@
     private final EventLoopWorker worker;
     private final AttemptOwner owner;
     private final Replica replica;
+    private final BooleanSupplier maySend;
     private final ReplicaStatus replicaStatus;
     private final ByteBuf bufferedBody = Unpooled.buffer(1024);
     private long reservedBytes;
@@ -71,11 +73,12 @@
             ForwardingContext context,
             EventLoopWorker worker,
             AttemptOwner owner,
-            Replica replica) {
+            AttemptTarget target) {
         this.context = context;
         this.worker = worker;
         this.owner = owner;
-        this.replica = replica;
+        this.replica = target.replica();
+        this.maySend = target.maySend();
         this.replicaStatus = context.statuses().statusOf(replica);
     }
 
@@ -98,10 +101,17 @@
             finish(AttemptResult.NOT_SENT, "no connection: " + reason);
             return;
         }
+        HttpRequest head = head();
+        if (!maySend.getAsBoolean()) {
+            abort();
+            acquiredConnection.abort();
+            owner.sendNotAllowed(replica);
+            return;
+        }
         connection = acquiredConnection;
         sentAt = context.clock().now();
         owner.recordSend(connection);
-        connection.send(head(), owner.request().body().retainedDuplicate(), this);
+        connection.send(head, owner.request().body().retainedDuplicate(), this);
     }
 
     private HttpRequest head() {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/ForwardedRequest.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/ForwardedRequest.java
@@ -4,11 +4,9 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import io.vavr.control.Either;
 import java.nio.charset.StandardCharsets;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.sequoiaspindle.core.coordination.forwarding.admission.Admission;
 import org.sequoiaspindle.core.coordination.forwarding.admission.AttemptResult;
@@ -17,8 +15,8 @@
 import org.sequoiaspindle.core.coordination.forwarding.piece.StagePlan;
 import org.sequoiaspindle.core.protocol.forwarding.RejectionResponse;
 import org.sequoiaspindle.core.state.forwarding.Replica;
-import org.sequoiaspindle.core.state.forwarding.ReplicaId;
 import org.sequoiaspindle.daemon.transport.forwarding.replica.AttemptOwner;
+import org.sequoiaspindle.daemon.transport.forwarding.replica.AttemptTarget;
 import org.sequoiaspindle.daemon.transport.forwarding.replica.ReplicaAttempt;
 import org.sequoiaspindle.daemon.transport.forwarding.shared.BufferedResponse;
 import org.sequoiaspindle.daemon.transport.forwarding.shared.ClientExchange;
@@ -41,9 +39,8 @@
     private final ClientRequest request;
     private final RequestTrace trace;
     private final AttemptHistory attempts = new AttemptHistory();
-    private final Set<ReplicaId> usedIds = new HashSet<>();
     private Admission.Admitted admission;
-    private ReplicaChoice replicaChoice;
+    private ReplicaSearch replicaSearch;
     private long deadlineMillis;
     private ScheduledFuture<?> deadlineTimer;
     private StageGraphExecution stages;
@@ -121,8 +118,8 @@
                 client.drainAdmission()
                         .limitDeadline(
                                 request.receivedAt() + admission.timeoutMillis(request.metadata()));
-        replicaChoice = new ReplicaChoice(context, admission, request.metadata());
-        if (!replicaChoice.isPossible()) {
+        replicaSearch = new ReplicaSearch(context, worker, admission, request.metadata());
+        if (!replicaSearch.isPossible()) {
             reject(RejectionReason.NO_REPLICA);
             return;
         }
@@ -142,10 +139,7 @@
                                 admission.route(),
                                 request.metadata(),
                                 admission.priority(),
-                                replicaChoice
-                                        .select(inputBytes, usedIds)
-                                        .map(Replica::dataCentre)
-                                        .orElse(""),
+                                replicaSearch.preferredDataCentre(inputBytes),
                                 request.receivedAt() + admission.route().objectiveMillis(),
                                 deadlineMillis),
                         this::stagesCompleted,
@@ -173,26 +167,34 @@
     }
 
     private void startAttempt() {
-        if (ended) {
-            return;
-        }
-        Optional<RejectionReason> obstacle = findObstacle(0);
+        Optional<RejectionReason> obstacle = ended ? Optional.empty() : findObstacle(0);
         if (obstacle.isPresent()) {
             rejectOrFail(obstacle.get());
+        } else if (!ended) {
+            replicaSearch.find(inputBytes, this::attempt);
+        }
+    }
+
+    private void attempt(Optional<AttemptTarget> target) {
+        if (ended) {
             return;
         }
-        Optional<Replica> replica = replicaChoice.select(inputBytes, usedIds);
-        if (replica.isEmpty()) {
-            rejectOrFail(usedIds.isEmpty() ? RejectionReason.NO_REPLICA : RejectionReason.FULL);
+        if (target.isEmpty()) {
+            rejectOrFail(replicaSearch.rejectionReason());
             return;
         }
-        usedIds.add(replica.get().id());
-        trace.recordReplica(
-                replica.get(), context.statuses().statusOf(replica.get()), context.clock().now());
-        currentAttempt = new ReplicaAttempt(context, worker, this, replica.get());
+        trace.recordReplica(target.get().replica());
+        currentAttempt = new ReplicaAttempt(context, worker, this, target.get());
         currentAttempt.start();
     }
 
+    @Override
+    public void sendNotAllowed(Replica replica) {
+        currentAttempt = null;
+        replicaSearch.refuse(replica);
+        startAttempt();
+    }
+
     @Override
     public void recordSend(OutboundConnection connection) {
         trace.recordSend(connection);
@@ -236,7 +238,7 @@
             return;
         }
         inputsRecomputed = true;
-        usedIds.clear();
+        replicaSearch.forgetUsed();
         releaseInputs();
         executeStages();
     }
@@ -265,7 +267,7 @@
         RejectionResponse response =
                 RejectionResponse.of(
                                 reason,
-                                replicaChoice == null ? 0 : replicaChoice.millisUntilPossible())
+                                replicaSearch == null ? 0 : replicaSearch.millisUntilPossible())
                         .explainedBy(explanation);
         finish(response.status(), reason.name());
         client.writeResponse(
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/ReplicaChoice.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/ReplicaChoice.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import org.sequoiaspindle.core.coordination.forwarding.admission.Admission;
 import org.sequoiaspindle.core.coordination.forwarding.replica.PromptAffinityPlacement;
@@ -35,9 +36,25 @@
                         candidates(), metadata.id(), excludedReplicas);
     }
 
-    /** Returns the time until a replica of the service accepts requests, 0 if not known. */
+    /**
+     * Returns the time until a replica of the service accepts requests without a permit, 0 if not
+     * known.
+     */
     long millisUntilPossible() {
-        return context.statuses().millisUntilAvailable(replicas(), context.clock().now()).orElse(0);
+        return replicas().stream()
+                .map(this::millisUntilPossible)
+                .flatMapToLong(OptionalLong::stream)
+                .min()
+                .orElse(0);
+    }
+
+    private OptionalLong millisUntilPossible(Replica replica) {
+        OptionalLong pause =
+                context.statuses().millisUntilAvailable(List.of(replica), context.clock().now());
+        return pause.isEmpty()
+                ? pause
+                : OptionalLong.of(
+                        Math.max(pause.getAsLong(), context.permits().millisUntilWarm(replica)));
     }
 
     private List<ReplicaSelector.Candidate> candidates() {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/RequestTrace.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/RequestTrace.java
@@ -47,7 +47,9 @@
     }
 
     /** Records the selected replica and its estimated load. */
-    void recordReplica(Replica replica, ReplicaStatus status, long now) {
+    void recordReplica(Replica replica) {
+        ReplicaStatus status = context.statuses().statusOf(replica);
+        long now = context.clock().now();
         endpoint = replica.id().toString();
         connection = "none";
         carriedRequests = 0;
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ForwardingContext.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ForwardingContext.java
@@ -12,6 +12,7 @@
 import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
 import org.sequoiaspindle.core.protocol.forwarding.PieceExecutor;
 import org.sequoiaspindle.core.protocol.forwarding.Registry;
+import org.sequoiaspindle.core.protocol.forwarding.SendPermits;
 import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
 import org.sequoiaspindle.core.state.forwarding.Route;
 import org.sequoiaspindle.daemon.state.ForwardingSettings;
@@ -21,6 +22,7 @@
  * Components shared by all requests. Each component is thread-safe.
  *
  * @param responseMemory memory for responses that are not passed on until they are complete
+ * @param permits supplies the permits that requests to cold replicas need
  * @param pieceTimes estimated time from the request of a piece to its result, by service
  * @param responseTimes estimated time from sending a request to the end of the response, by route
  */
@@ -37,6 +39,7 @@
         PieceExecutor pieceExecutor,
         HandleReleaser releaser,
         CrashReporter crashReporter,
+        SendPermits permits,
         ResultLocator locator,
         MemoryBudget responseMemory,
         ForwardingMetrics metrics,
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ReplicaAnswerRecorder.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ReplicaAnswerRecorder.java
@@ -1,6 +1,7 @@
 package org.sequoiaspindle.daemon.transport.forwarding.shared;
 
 import io.vavr.collection.HashMap;
+import java.util.function.BiConsumer;
 import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
@@ -8,12 +9,24 @@
 import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaStatuses;
 import org.sequoiaspindle.core.protocol.forwarding.ReplicaResponseHead;
 import org.sequoiaspindle.core.state.forwarding.Replica;
+import org.sequoiaspindle.core.state.forwarding.ReplicaId;
 
 /**
- * Records what replicas say about themselves in the heads of their answers: load, shutdown and
- * requests for a pause. Thread-safe.
+ * Records what replicas say about themselves in the heads of their answers: load, shutdown, cold
+ * time and requests for a pause. Thread-safe.
+ *
+ * @param coldStatements receives the time for which a replica states that it stays cold
  */
-public record ReplicaAnswerRecorder(ReplicaStatuses statuses, MillisClock clock, EventLog events) {
+public record ReplicaAnswerRecorder(
+        ReplicaStatuses statuses,
+        BiConsumer<ReplicaId, Long> coldStatements,
+        MillisClock clock,
+        EventLog events) {
+
+    /** Creates a recorder of a deployment in which cold replicas are not limited. */
+    public ReplicaAnswerRecorder(ReplicaStatuses statuses, MillisClock clock, EventLog events) {
+        this(statuses, (replica, millis) -> {}, clock, events);
+    }
 
     /** Records an answer that is known to be the one to the latest request on its connection. */
     public void record(Replica replica, ReplicaResponseHead head) {
@@ -21,6 +34,7 @@
         long now = clock.now();
         head.load().ifPresent(load -> status.recordLoad(load, now));
         recordLeaving(replica, head, now);
+        recordCold(replica, head);
         head.pauseMillis()
                 .ifPresent(
                         millis -> {
@@ -38,6 +52,7 @@
         ReplicaStatus status = statuses.statusOf(replica);
         long now = clock.now();
         recordLeaving(replica, head, now);
+        recordCold(replica, head);
         head.pauseMillis()
                 .ifPresent(
                         millis -> {
@@ -47,6 +62,13 @@
                         });
     }
 
+    /** A late copy can only make the cold time longer, which is safe. */
+    private void recordCold(Replica replica, ReplicaResponseHead head) {
+        if (head.coldMillis() > 0) {
+            coldStatements.accept(replica.id(), head.coldMillis());
+        }
+    }
+
     private void recordLeaving(Replica replica, ReplicaResponseHead head, long now) {
         if (head.leaving() && statuses.statusOf(replica).recordLeaving(now)) {
             events.record(
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -63,6 +64,11 @@
                     "Reads of the store through another instance, by command and result",
                     "command",
                     "result");
+    private final Counter permits =
+            counter(
+                    "permits",
+                    "Permits for cold endpoints: issued, refused, expired before use, used",
+                    "event");
     private final Gauge inFlightRequests =
             Gauge.builder()
                     .name("sequoiaspindle_forwarded_requests_in_flight")
@@ -78,6 +84,24 @@
                 .register(registry);
     }
 
+    /** Exposes the number of cold endpoints. */
+    public void countColdEndpoints(LongSupplier coldEndpoints) {
+        GaugeWithCallback.builder()
+                .name("sequoiaspindle_cold_endpoints")
+                .help("Endpoints that are cold, as this instance knows them")
+                .callback(callback -> callback.call(coldEndpoints.getAsLong()))
+                .register(registry);
+    }
+
+    /**
+     * Counts an event of a permit.
+     *
+     * @param event issued, refused, expired or used
+     */
+    public void recordPermit(String event) {
+        permits.labelValues(event).inc();
+    }
+
     public void recordRequestStart() {
         inFlightRequests.inc();
     }
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ForwardingContextTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ForwardingContextTest.java
@@ -95,6 +95,7 @@
                 null,
                 null,
                 null,
+                null,
                 clock,
                 null);
     }
