--- a/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/ColdEndpointBoundTest.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/ColdEndpointBoundTest.java
@@ -71,7 +71,9 @@
             world.at(
                     world.random.nextLong(HISTORY_MS),
                     () -> {
-                        if (!injectFault(world, machines.get(name))) {
+                        if (world.random.nextInt(8) == 0) {
+                            fleet.get(name).list();
+                        } else if (!injectFault(world, machines.get(name))) {
                             fleet.get(name).stop();
                             new SimulatedSender(world, name, machines.get(name), fleet, sends)
                                     .start(naive);
@@ -85,7 +87,7 @@
     /** Changes a machine at random; returns false if the process has to be restarted instead. */
     private static boolean injectFault(SimulatedWorld world, SimulatedSender.Machine machine) {
         long millis = world.random.nextLong(4_000);
-        switch (world.random.nextInt(7)) {
+        switch (world.random.nextInt(8)) {
             case 0 -> machine.cutUntil = world.now + millis;
             case 1 -> machine.frozenUntil = world.now + millis;
             case 2 -> {
@@ -95,6 +97,7 @@
             case 3 -> machine.watchLag = millis;
             case 4 -> machine.maxDelay = millis / 4;
             case 5 -> machine.wallStep += millis - 2_000;
+            case 6 -> machine.sendsInBursts = !machine.sendsInBursts;
             default -> {
                 return false;
             }
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/SimulatedSender.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/SimulatedSender.java
@@ -29,6 +29,8 @@
     /** Longest time between a permit and the send, for a connection. */
     private static final long MAX_CONNECT_MS = 700;
 
+    private static final long BURST_INTERVAL_MS = 2_500;
+
     /** Faults of a machine; each lasts until the given time. */
     static final class Machine {
         long cutUntil;
@@ -37,6 +39,7 @@
         long wallStep;
         long watchLag;
         long maxDelay = 5;
+        boolean sendsInBursts;
     }
 
     private final SimulatedWorld world;
@@ -95,14 +98,23 @@
         after(
                 world.delay(machine.maxDelay),
                 () -> {
-                    directory.replaceAll(List.of(), 0);
-                    world.listing().forEach(this::changed);
+                    list();
+                    world.listing()
+                            .filter(item -> !item.key().startsWith(IssuerKeys.PREFIX))
+                            .forEach(this::changed);
                     registration.register();
                     repeat(IssuerRoles.CHECK_INTERVAL_MS, roles::check);
                     repeat(ASK_INTERVAL_MS, naive ? this::sendByShare : this::ask);
                 });
     }
 
+    /** Lists the issuers; the listing is applied after the lag of the watch. */
+    void list() {
+        long revision = world.revision();
+        var items = world.listing().filter(item -> item.key().startsWith(IssuerKeys.PREFIX));
+        after(machine.watchLag, () -> directory.replaceAll(items.asJava(), revision));
+    }
+
     void stop() {
         dead = true;
     }
@@ -161,11 +173,18 @@
                     if (issuer.roles.issue(REPLICA.id().toString()).granted()) {
                         after(
                                 world.delay(machine.maxDelay),
-                                () -> after(world.random.nextLong(MAX_CONNECT_MS), send(permit)));
+                                () -> after(connectMillis(), send(permit)));
                     }
                 });
     }
 
+    /** Bursts of all machines coincide, which is the worst that late sends can do. */
+    private long connectMillis() {
+        return machine.sendsInBursts
+                ? BURST_INTERVAL_MS - world.now % BURST_INTERVAL_MS
+                : world.random.nextLong(MAX_CONNECT_MS);
+    }
+
     private Runnable send(SendPermit permit) {
         return () -> {
             if (permit.isUsable(clocks())) {
--- a/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/SimulatedWorld.java
+++ b/core/src/test/java/org/sequoiaspindle/core/protocol/forwarding/SimulatedWorld.java
@@ -80,9 +80,16 @@
         return random.nextInt(10) == 0 ? random.nextLong(max + 1) : random.nextLong(5);
     }
 
+    long revision() {
+        return revision;
+    }
+
     Vector<StoreChange.Written> listing() {
         return Vector.ofAll(items.entrySet())
-                .map(e -> new StoreChange.Written(e.getKey(), e.getValue().value(), revision));
+                .map(
+                        e ->
+                                new StoreChange.Written(
+                                        e.getKey(), e.getValue().value(), e.getValue().revision()));
     }
 
     private StoreResult apply(StoreCommand command) {
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/request/RequestTraceTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/request/RequestTraceTest.java
@@ -69,6 +69,7 @@
                 null,
                 null,
                 null,
+                null,
                 new ForwardingMetrics(),
                 () -> 0,
                 events);
--- a/standins/src/main/java/org/sequoiaspindle/standins/protocol/ReplicaFrontEnd.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/protocol/ReplicaFrontEnd.java
@@ -29,6 +29,7 @@
     static final String NOT_EXECUTED_HEADER = "X-Sequoiaspindle-Not-Executed";
     private static final String LEAVING_HEADER = "Server-Leaving";
     private static final int EVENTS_PER_STREAM = 3;
+    private static final long NANOS_PER_MILLI = 1_000_000;
 
     /** Time for which a paused replica asks for no requests, in seconds. */
     private static final String PAUSE_SECONDS = "2.5";
@@ -48,6 +49,7 @@
     private final AtomicLong requestCount = new AtomicLong();
     private final AtomicReference<FatalPart> fatalPart = new AtomicReference<>();
     private final List<FullRequest> executedRequests = new CopyOnWriteArrayList<>();
+    private final List<Long> arrivalTimes = new CopyOnWriteArrayList<>();
     private final AtomicLong pausedRequestCount = new AtomicLong();
     private final AtomicLong releaseCallCount = new AtomicLong();
     private final AtomicLong pieceCallCount = new AtomicLong();
@@ -95,6 +97,11 @@
         return List.copyOf(executedRequests);
     }
 
+    /** Returns the times at which the executed requests arrived, on a monotonic clock. */
+    public List<Long> arrivalTimes() {
+        return List.copyOf(arrivalTimes);
+    }
+
     /**
      * Returns the number of requests whose connection was closed before the end of the response.
      */
@@ -169,6 +176,7 @@
         }
         // Set before the request is recorded, so that an immediate disconnect is also counted.
         responder.onDisconnect(abandonedRequestCount::incrementAndGet);
+        arrivalTimes.add(System.nanoTime() / NANOS_PER_MILLI);
         executedRequests.add(request);
         FatalPart fatal = fatalPart.get();
         responder
--- a/standins/src/main/java/org/sequoiaspindle/standins/transport/ReplicaServer.java
+++ b/standins/src/main/java/org/sequoiaspindle/standins/transport/ReplicaServer.java
@@ -1,5 +1,6 @@
 package org.sequoiaspindle.standins.transport;
 
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -39,12 +40,20 @@
 
     /** Registers the replica, or updates the registration. */
     public void register(RegistryServer registry, String service, String zone, String state) {
-        registry.write(
-                "servers/" + id,
-                StandinJson.write(
-                        Map.of(
-                                "service", service, "address", address(), "zone", zone, "slots", 4,
-                                "state", state, "born", 1)));
+        registry.write("servers/" + id, StandinJson.write(registration(service, zone, state)));
+    }
+
+    /** Registers the replica as one that stays cold for some time. */
+    public void registerCold(RegistryServer registry, String service, String zone, long coldMs) {
+        Map<String, Object> registration = new HashMap<>(registration(service, zone, "ready"));
+        registration.put("cold_left_ms", coldMs);
+        registry.write("servers/" + id, StandinJson.write(registration));
+    }
+
+    private Map<String, Object> registration(String service, String zone, String state) {
+        return Map.of(
+                "service", service, "address", address(), "zone", zone, "slots", 4, "state", state,
+                "born", 1);
     }
 
     public void setFault(ReplicaFault fault) {
@@ -66,6 +75,11 @@
         return frontEnd.executedRequests();
     }
 
+    /** Returns the times at which the executed requests arrived, in milliseconds. */
+    public List<Long> arrivalTimes() {
+        return frontEnd.arrivalTimes();
+    }
+
     /**
      * Returns the number of requests whose connection was closed before the end of the response.
      */
