Issue no permits for a second after an endpoint became cold again

Cause: instances that have not read it yet still send to the endpoint without permits; permits would come on top. Change: the issuer notices at its check that a replica turned cold and postpones the next permit by 1 s. Result: IssuerRolesTest, ColdEndpointBoundTest (with bursts) and PermitDecisionsTest pass.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/permit/IssuerRole.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/permit/IssuerRole.java
@@ -48,6 +48,11 @@
                 && now.monotonicMillis() >= nextIssueAt;
     }
 
+    /** Returns the role with no permit before the given time. */
+    public IssuerRole postponed(long until) {
+        return new IssuerRole(replica, claim, lease, version, Math.max(nextIssueAt, until));
+    }
+
     /** Returns the role after a permit was issued. */
     public IssuerRole afterIssue(long spacingMillis, long now) {
         return new IssuerRole(replica, claim, lease, version, now + spacingMillis);
--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/IssuerRoles.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/IssuerRoles.java
@@ -1,5 +1,6 @@
 package org.sequoiaspindle.core.protocol.forwarding;
 
+import io.vavr.Tuple;
 import io.vavr.collection.HashMap;
 import io.vavr.collection.HashSet;
 import io.vavr.collection.Map;
@@ -42,6 +43,13 @@
      */
     private static final long ROLE_RETENTION_MS = 10_000;
 
+    /**
+     * Time without permits after a warm replica has become cold again, in milliseconds. Instances
+     * that have not read it yet still send without permits; the watch of most delivers it within
+     * half a second.
+     */
+    static final long COLD_AGAIN_WAIT_MS = 1_000;
+
     /**
      * What the roles depend on.
      *
@@ -79,6 +87,9 @@
     private final AtomicReference<Map<String, Long>> registeredAt =
             new AtomicReference<>(HashMap.empty());
 
+    /** Names of the replicas that were cold at the last check. */
+    private final AtomicReference<Set<String>> coldBefore = new AtomicReference<>(HashSet.empty());
+
     /** Revisions of keys that are being deleted. */
     private final AtomicReference<Set<Long>> deleted = new AtomicReference<>(HashSet.empty());
 
@@ -130,6 +141,7 @@
                 environment.lease().get().filter(current -> current.isCertain(now));
         roles.get().forEach((replica, role) -> checkRole(replica, role, hold, now));
         deleteForgottenKeys();
+        postponeColdAgain(now.monotonicMillis());
         claimMissing(hold, now.monotonicMillis());
     }
 
@@ -168,6 +180,24 @@
         return now - registeredAt.get().getOrElse(replica, now) > ROLE_RETENTION_MS;
     }
 
+    private void postponeColdAgain(long now) {
+        Set<String> cold =
+                HashSet.ofAll(environment.coldReplicas().get()).map(r -> r.id().toString());
+        Set<String> coldAgain = cold.diff(coldBefore.getAndSet(cold));
+        if (coldAgain.isEmpty()) {
+            return;
+        }
+        roles.updateAndGet(
+                current ->
+                        current.map(
+                                (replica, role) ->
+                                        Tuple.of(
+                                                replica,
+                                                coldAgain.contains(replica)
+                                                        ? role.postponed(now + COLD_AGAIN_WAIT_MS)
+                                                        : role)));
+    }
+
     private void claimMissing(Optional<LeaseHold> hold, long now) {
         Map<String, Long> since = HashMap.empty();
         for (Replica replica : environment.coldReplicas().get()) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/permit/ColdEndpointGuard.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/permit/ColdEndpointGuard.java
@@ -36,6 +36,9 @@
  */
 public final class ColdEndpointGuard {
 
+    /** Interval at which replicas and instances that have gone are forgotten. */
+    private static final long CLEANUP_INTERVAL_MS = 5_000;
+
     private final IssueRate rate;
     private final Registry registry;
     private final EventLoopWorker worker;
@@ -118,10 +121,16 @@
     }
 
     private void start() {
+        worker.loop()
+                .scheduleWithFixedDelay(
+                        this::removeUnregistered,
+                        CLEANUP_INTERVAL_MS,
+                        CLEANUP_INTERVAL_MS,
+                        TimeUnit.MILLISECONDS);
         checks =
                 worker.loop()
                         .scheduleWithFixedDelay(
-                                this::check,
+                                roles::check,
                                 IssuerRoles.CHECK_INTERVAL_MS,
                                 IssuerRoles.CHECK_INTERVAL_MS,
                                 TimeUnit.MILLISECONDS);
@@ -141,8 +150,7 @@
         return reply;
     }
 
-    private void check() {
-        roles.check();
+    private void removeUnregistered() {
         client.removeUnregistered();
         tracker.retainOnly(registry.replicas());
     }
