Merge permits for cold endpoints

Change: evacuation, cold endpoints and pace are one combined rule (SendRules, ReplicaState); a withdrawn attempt of either kind goes one way (attemptWithdrawn); a restored data centre makes its endpoints cold for their service's time.

--- a/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
+++ b/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
@@ -49,6 +49,11 @@
     ENDPOINT_PAUSED(611, Level.INFO, "endpoint asked for no requests for some time"),
     DATA_CENTRE_EVACUATED(612, Level.WARN, "data centre evacuated"),
     DATA_CENTRE_RESTORED(613, Level.INFO, "data centre restored"),
+    ENDPOINT_COLD(620, Level.INFO, "endpoint is cold"),
+    ISSUER_ROLE_TAKEN(621, Level.INFO, "instance issues the permits for a cold endpoint"),
+    ISSUER_ROLE_LOST(622, Level.INFO, "instance no longer issues the permits for an endpoint"),
+    ISSUER_CLAIM_FAILED(623, Level.WARN, "role of the issuer could not be claimed"),
+    COLD_RATE_LOWERED(624, Level.WARN, "permits are issued below the rate of the service"),
     ENDPOINT_SLOWED(630, Level.INFO, "endpoint carries less than half of its usual rate"),
     ENDPOINT_PACE_RESTORED(631, Level.INFO, "endpoint carries its usual rate again");
 
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatuses.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatuses.java
@@ -75,6 +75,18 @@
         return statusOf(replica).availability().isLeaving() || isClosed(replica, now);
     }
 
+    /** Returns the replicas that have not announced their shutdown and need no permits. */
+    public List<Replica> withoutRestricted(List<Replica> replicas, long now) {
+        return withoutClosed(replicas, now).stream()
+                .filter(replica -> !termsFor(replica, now).needsPermit())
+                .toList();
+    }
+
+    /** Returns whether a replica accepts requests that have no permit. */
+    public boolean acceptsWithoutPermit(Replica replica, long now) {
+        return acceptsRequests(replica, now) && !termsFor(replica, now).needsPermit();
+    }
+
     /**
      * Returns the time until the first of the replicas accepts requests, in milliseconds: 0 if one
      * does now, and empty if all of them are leaving or closed.
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/ForwardingInstance.java
@@ -4,7 +4,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.EventExecutor;
 import io.vavr.collection.HashMap;
@@ -24,7 +23,6 @@
 import org.sequoiaspindle.core.coordination.forwarding.admission.DurationEstimates;
 import org.sequoiaspindle.core.coordination.forwarding.admission.FirstByteTimeEstimates;
 import org.sequoiaspindle.core.coordination.forwarding.admission.ServiceRetryBudgets;
-import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaStatus;
 import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaStatuses;
 import org.sequoiaspindle.core.protocol.forwarding.CrashReporter;
 import org.sequoiaspindle.core.protocol.forwarding.HttpDialect;
@@ -34,10 +32,10 @@
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
 import org.sequoiaspindle.core.state.forwarding.InstanceEntry;
-import org.sequoiaspindle.core.state.forwarding.Replica;
 import org.sequoiaspindle.daemon.state.ForwardingSettings;
 import org.sequoiaspindle.daemon.transport.forwarding.client.ClientConnection;
 import org.sequoiaspindle.daemon.transport.forwarding.client.ClientConnections;
+import org.sequoiaspindle.daemon.transport.forwarding.permit.ColdEndpointParts;
 import org.sequoiaspindle.daemon.transport.forwarding.piece.BatchingPieceExecutor;
 import org.sequoiaspindle.daemon.transport.forwarding.piece.DistributedPieceExecutor;
 import org.sequoiaspindle.daemon.transport.forwarding.piece.LocalPieceExecutor;
@@ -52,7 +50,6 @@
 import org.sequoiaspindle.daemon.transport.forwarding.shared.ReplicaAnswerRecorder;
 import org.sequoiaspindle.daemon.transport.forwarding.shared.ResultLocator;
 import org.sequoiaspindle.daemon.transport.forwarding.shared.StrayAnswerLog;
-import org.sequoiaspindle.daemon.transport.http.ConnectionPool;
 import org.sequoiaspindle.daemon.transport.http.HttpCallClient;
 import org.sequoiaspindle.daemon.transport.telemetry.ForwardingMetrics;
 
@@ -91,7 +88,7 @@
     private final ForwardingContext context;
     private final PieceListener pieceListener;
     private final RegistrySync registrySync;
-    private final PaceMonitor paceMonitor;
+    private final ReplicaState replicaState;
     private HostPort clientAddress;
     private HostPort readinessAddress;
 
@@ -110,17 +107,20 @@
                         NioIoHandler.newFactory());
         closer.register(() -> loops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS));
         strayAnswers = new StrayAnswerLog(adapter.dialect().responseReader(), metrics, events);
-        loops.forEach(loop -> workers.put(loop, newWorker((EventLoop) loop)));
+        loops.forEach(
+                loop ->
+                        workers.put(
+                                loop,
+                                EventLoopWorker.of(
+                                        (EventLoop) loop, clock, strayAnswers::recordUnrequested)));
         control = workers.get(loops.next());
-        registry = new Registry(adapter.layout(), clock, MillisClock.wall(), events);
         Store store = metrics.countStoreCalls(adapter.storeFactory().apply(control.httpClient()));
         registrySync = closer.register(newRegistrySync(adapter, store));
-        paceMonitor = new PaceMonitor(settings, this::statusOf, metrics, events);
-        ReplicaStatuses statuses =
-                new ReplicaStatuses(
-                        settings.dataCentre(),
-                        SendRules.of(settings, registry, metrics).and(paceMonitor.sendRule()));
-        ReplicaAnswerRecorder answerRecorder = paceMonitor.answerRecorder(statuses, clock);
+        registry = registrySync.registry();
+        ColdEndpointParts coldParts = registrySync.coldParts();
+        replicaState = new ReplicaState(settings, registry, coldParts, clock, metrics, events);
+        ReplicaAnswerRecorder answerRecorder = replicaState.answerRecorder();
+        ReplicaStatuses statuses = answerRecorder.statuses();
         LocalPieceExecutor localExecutor =
                 new LocalPieceExecutor(
                         service -> newBatchingExecutor(service, answerRecorder, adapter));
@@ -129,19 +129,10 @@
                         control,
                         adapter.stages(),
                         registry,
-                        replica -> statuses.acceptsRequests(replica, clock.now()),
+                        replica -> statuses.acceptsWithoutPermit(replica, clock.now()),
                         localExecutor::resultsReleased);
-        pieceListener = new PieceListener(localExecutor, releaser, clock);
-        DistributedPieceExecutor pieceExecutor =
-                new DistributedPieceExecutor(
-                        settings.instance(),
-                        control,
-                        registry,
-                        localExecutor,
-                        releaser,
-                        new ResultLocator(adapter.stages(), registry),
-                        clock,
-                        events);
+        pieceListener = new PieceListener(localExecutor, releaser, coldParts.issuer(), clock);
+        DistributedPieceExecutor pieceExecutor = newPieceExecutor(adapter, localExecutor, releaser);
         context = newContext(adapter, answerRecorder, pieceExecutor, newCrashReporter(store));
     }
 
@@ -252,12 +243,7 @@
 
     private void runChecks() {
         connections.enforceTimeouts(registry.configuration().limits());
-        context.statuses().retainOnly(registry.replicas(), clock.now());
-        paceMonitor.update(registry, clock.now());
-    }
-
-    private ReplicaStatus statusOf(Replica replica) {
-        return context.statuses().statusOf(replica);
+        replicaState.update(registry, clock.now());
     }
 
     private boolean isReady() {
@@ -277,26 +263,6 @@
         return new HostPort(bound.getAddress().getHostAddress(), bound.getPort());
     }
 
-    private RegistrySync newRegistrySync(Adapter adapter, Store store) {
-        return new RegistrySync(
-                settings,
-                store,
-                adapter.layout(),
-                registry,
-                control.loop(),
-                control.timer(),
-                clock,
-                metrics,
-                events);
-    }
-
-    private EventLoopWorker newWorker(EventLoop loop) {
-        ConnectionPool pool =
-                new ConnectionPool(
-                        loop, NioSocketChannel.class, clock, strayAnswers::recordUnrequested);
-        return new EventLoopWorker(loop, pool, new HttpCallClient(loop, pool));
-    }
-
     private ForwardingContext newContext(
             Adapter adapter,
             ReplicaAnswerRecorder answerRecorder,
@@ -320,6 +286,7 @@
                 pieceExecutor,
                 pieceExecutor,
                 crashReporter,
+                registrySync.coldParts().permits(),
                 new ResultLocator(adapter.stages(), registry),
                 new MemoryBudget(ReplicaAttempt.MAX_TOTAL_BUFFERED_BYTES),
                 metrics,
@@ -327,6 +294,23 @@
                 events);
     }
 
+    private RegistrySync newRegistrySync(Adapter adapter, Store store) {
+        return new RegistrySync(settings, store, adapter.layout(), control, clock, metrics, events);
+    }
+
+    private DistributedPieceExecutor newPieceExecutor(
+            Adapter adapter, LocalPieceExecutor localExecutor, ReplicaHandleReleaser releaser) {
+        return new DistributedPieceExecutor(
+                settings.instance(),
+                control,
+                registry,
+                localExecutor,
+                releaser,
+                new ResultLocator(adapter.stages(), registry),
+                clock,
+                events);
+    }
+
     private CrashReporter newCrashReporter(Store store) {
         return new CrashReporter(
                 registry, store, new ReplicaConnectionCheck(control), control.timer(), events);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/PaceMonitor.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/PaceMonitor.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.BiConsumer;
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -67,8 +68,10 @@
     }
 
     /** Returns a recorder whose observations the rule uses. */
-    ReplicaAnswerRecorder answerRecorder(ReplicaStatuses all, MillisClock clock) {
-        return new ReplicaAnswerRecorder(all, new PaceRecorder(all, clock, active), clock, events);
+    ReplicaAnswerRecorder answerRecorder(
+            ReplicaStatuses all, BiConsumer<ReplicaId, Long> coldStatements, MillisClock clock) {
+        return new ReplicaAnswerRecorder(
+                all, new PaceRecorder(all, clock, active), coldStatements, clock, events);
     }
 
     /** Takes over the registered replicas and reports changes; called from one thread. */
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/AttemptOwner.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/AttemptOwner.java
@@ -34,8 +34,8 @@
     void firstBytesReceived();
 
     /**
-     * Handles the end of an attempt whose replica was closed before anything was sent to it. Does
-     * not count as a failed attempt.
+     * Handles the end of an attempt whose request was not sent, because the replica was closed or a
+     * permit expired meanwhile. Does not count as a failed attempt.
      */
     void attemptWithdrawn(Replica replica);
 
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaAttempt.java
@@ -3,11 +3,13 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.sequoiaspindle.core.coordination.forwarding.admission.AttemptResult;
 import org.sequoiaspindle.core.coordination.forwarding.connection.ConnectionState.Decision;
 import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaStatus;
@@ -46,6 +48,7 @@
     private final EventLoopWorker worker;
     private final AttemptOwner owner;
     private final Replica replica;
+    private final BooleanSupplier maySend;
     private final ReplicaStatus replicaStatus;
     private final AttemptPace pace;
     private final ByteBuf bufferedBody = Unpooled.buffer(1024);
@@ -64,11 +67,12 @@
             ForwardingContext context,
             EventLoopWorker worker,
             AttemptOwner owner,
-            Replica replica) {
+            AttemptTarget target) {
         this.context = context;
         this.worker = worker;
         this.owner = owner;
-        this.replica = replica;
+        this.replica = target.replica();
+        this.maySend = target.maySend();
         this.replicaStatus = context.statuses().statusOf(replica);
         this.pace = new AttemptPace(context, owner, replica);
     }
@@ -97,17 +101,19 @@
             finish(AttemptResult.NOT_SENT, "no connection: " + reason);
             return;
         }
+        HttpRequest head = ReplicaRequestHead.of(context, owner, replica);
+        if (!maySend.getAsBoolean()) {
+            withdraw(acquiredConnection);
+            return;
+        }
         connection = acquiredConnection;
         sentAt = now;
         pace.sent();
         owner.recordSend(connection);
-        connection.send(
-                ReplicaRequestHead.of(context, owner, replica),
-                owner.request().body().retainedDuplicate(),
-                this);
+        connection.send(head, owner.request().body().retainedDuplicate(), this);
     }
 
-    /** Ends the attempt because the replica was closed while the connection was opened. */
+    /** Ends the attempt because the replica may not be sent the request any more. */
     private void withdraw(OutboundConnection unusedConnection) {
         finished = true;
         replicaStatus.requestFinished();
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaAttemptTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaAttemptTest.java
@@ -72,7 +72,11 @@
                             1,
                             false);
             ReplicaAttempt attempt =
-                    new ReplicaAttempt(contextOf(statuses), worker, owner(withdrawn), replica);
+                    new ReplicaAttempt(
+                            contextOf(statuses),
+                            worker,
+                            owner(withdrawn),
+                            new AttemptTarget(replica, () -> true));
             loop.execute(attempt::start);
             assertReceivesNothing(server);
             assertEquals(replica, withdrawn.get(TIMEOUT_MS, TimeUnit.MILLISECONDS));
@@ -127,6 +131,7 @@
                 null,
                 null,
                 null,
+                null,
                 clock,
                 EventLog.NONE);
     }
--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/shared/PaceRecorderTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/shared/PaceRecorderTest.java
@@ -60,7 +60,8 @@
                         false,
                         false,
                         OptionalLong.empty());
-        new ReplicaAnswerRecorder(statuses, pace, () -> NOW, EventLog.NONE).record(REPLICA, head);
+        new ReplicaAnswerRecorder(statuses, pace, (replica, millis) -> {}, () -> NOW, EventLog.NONE)
+                .record(REPLICA, head);
         pace.recordEnd(REPLICA, head);
         return statuses.statusOf(REPLICA).pace().capacityAt(NOW);
     }
