Test that stages without replicas are found before any stage work

Cause: nothing showed that a request is refused before its first stage if a later stage has no replica left. Change: a test of ForwardingContext.lacksStageReplicas, with and without the setting.

--- a/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ForwardingContextTest.java
+++ b/daemon/src/test/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ForwardingContextTest.java
@@ -5,13 +5,16 @@
 
 import io.vavr.collection.Vector;
 import io.vavr.control.Either;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
+import org.sequoiaspindle.core.common.EventLog;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.common.MillisClock;
 import org.sequoiaspindle.core.common.Timer;
+import org.sequoiaspindle.core.coordination.forwarding.replica.ReplicaStatuses;
 import org.sequoiaspindle.core.protocol.forwarding.Registry;
 import org.sequoiaspindle.core.protocol.forwarding.RegistryLayout;
 import org.sequoiaspindle.core.protocol.forwarding.RegistryWatcher;
@@ -21,6 +24,10 @@
 import org.sequoiaspindle.core.protocol.store.StoreValue;
 import org.sequoiaspindle.core.state.forwarding.ForwardingTable;
 import org.sequoiaspindle.core.state.forwarding.HostPort;
+import org.sequoiaspindle.core.state.forwarding.RequestKind;
+import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
+import org.sequoiaspindle.core.state.forwarding.Route;
+import org.sequoiaspindle.core.state.forwarding.StageSpec;
 import org.sequoiaspindle.daemon.state.ForwardingSettings;
 
 /** Guards against requests that are executed with an API key that may have been revoked. */
@@ -30,7 +37,7 @@
     private static final HostPort ANY_ADDRESS = new HostPort("127.0.0.1", 0);
 
     private final AtomicLong now = new AtomicLong(100_000);
-    private final ForwardingContext context = newContext();
+    private final ForwardingContext context = newContext(ForwardingSettings.EndpointRules.NONE);
 
     @Test
     void requestWithAKeyIsAcceptedDuringPartOfTheRevocationLimit() {
@@ -55,8 +62,48 @@
         assertFalse(context.maySendWithKey(1_500));
     }
 
+    /** Guards against work for the first stages of a request whose later stage has no replica. */
+    @Test
+    void onlyDeploymentsThatEvacuateLookForReplicasOfEveryStageThatTheRequestNeeds() {
+        ForwardingContext evacuating =
+                newContext(new ForwardingSettings.EndpointRules(5_000, Optional.empty(), false));
+        Route route =
+                new Route(
+                        "r",
+                        "h",
+                        "/",
+                        RequestKind.STREAM,
+                        1_000,
+                        100,
+                        1,
+                        List.of(),
+                        1,
+                        List.of(new StageSpec(0, "stage", List.of(), 1)),
+                        true,
+                        true,
+                        false,
+                        0);
+        assertTrue(evacuating.lacksStageReplicas(route, requestOf(1)));
+        assertFalse(evacuating.lacksStageReplicas(route, requestOf(0)));
+        assertFalse(context.lacksStageReplicas(route, requestOf(1)));
+    }
+
+    private static RequestMetadata requestOf(int pieces) {
+        return new RequestMetadata(
+                "id",
+                "h",
+                "/",
+                1_000,
+                Optional.empty(),
+                List.of(),
+                0,
+                0,
+                List.of(pieces),
+                Optional.empty());
+    }
+
     /** Creates a context whose registry has read the configuration once, at the current time. */
-    private ForwardingContext newContext() {
+    private ForwardingContext newContext(ForwardingSettings.EndpointRules rules) {
         MillisClock clock = now::get;
         RegistryLayout layout =
                 new RegistryLayout(
@@ -80,10 +127,10 @@
                 };
         new RegistryWatcher(store, layout, registry, timer).start(0);
         return new ForwardingContext(
-                settings(),
+                settings(rules),
                 registry,
                 null,
-                null,
+                new ReplicaAnswerRecorder(new ReplicaStatuses("a"), clock, EventLog.NONE),
                 null,
                 null,
                 null,
@@ -100,7 +147,7 @@
                 null);
     }
 
-    private static ForwardingSettings settings() {
+    private static ForwardingSettings settings(ForwardingSettings.EndpointRules rules) {
         return new ForwardingSettings(
                 "one",
                 "a",
@@ -118,7 +165,7 @@
                 LogEvent.Level.INFO,
                 100,
                 ForwardingSettings.DEFAULT_MAX_PIECES_PER_REQUEST,
-                ForwardingSettings.EndpointRules.NONE,
+                rules,
                 ForwardingSettings.MemoryLimits.NONE);
     }
 }
