Keep one account of the memory that clients use

Bodies and collected responses each had a budget; heads, requests ahead, unread answers and connections had none. Crowds of legal heads ended or hung the process, and idle or slow clients took its descriptors.

MemoryAccount decides who gets memory or a place, who is refused, and whose connection is closed: stalled clients first, by client address and size; connections whose requests run never; an eighth of the budget is spared for small ones. Bodies are copied into chunks, reads are at most 16 KiB, a request on a connection starts only when the answer before it has left the buffer, and an answer of which nothing is taken for idle_timeout_ms ends the connection. Messages that arrive while requests wait are queued behind them; before, a read between two tasks could overtake them. The listeners for readiness and metrics hold 32 connections each.

--- a/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
+++ b/core/src/main/java/org/sequoiaspindle/core/common/LogEvent.java
@@ -26,6 +26,11 @@
     LATE_ANSWER_DROPPED(302, Level.WARN, "answer dropped: late, or for another request"),
     REQUEST_REJECTED(303, Level.INFO, "malformed or unauthorised request rejected"),
     STRAY_ANSWER(307, Level.INFO, "answer to no request or to another one was not used"),
+    CONNECTION_CLOSED_FOR_MEMORY(
+            320, Level.WARN, "connection of a stalled client closed; memory is short"),
+    CONNECTION_DISPLACED(321, Level.INFO, "idle connection closed in favour of a new one"),
+    CONNECTION_REFUSED(322, Level.WARN, "connection refused; there are too many"),
+    ANSWER_NOT_READ(323, Level.INFO, "connection closed; its client does not read the answer"),
     PEER_CONNECTED(401, Level.INFO, "peer connected"),
     PEER_SILENT(402, Level.WARN, "peer link timed out; closed"),
     PEER_SUSPECTED(403, Level.WARN, "peer suspected"),
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/client/ClientConnection.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/client/ClientConnection.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -14,20 +13,18 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import io.vavr.collection.LinkedHashMap;
 import io.vavr.control.Either;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.sequoiaspindle.core.common.LogEvent;
 import org.sequoiaspindle.core.coordination.forwarding.admission.DrainAdmission;
+import org.sequoiaspindle.core.coordination.forwarding.memory.MemoryKind;
 import org.sequoiaspindle.core.state.forwarding.IngressLimits;
-import org.sequoiaspindle.core.state.forwarding.RequestMetadata;
 import org.sequoiaspindle.daemon.transport.forwarding.request.ForwardedRequest;
-import org.sequoiaspindle.daemon.transport.forwarding.request.RequestBody;
 import org.sequoiaspindle.daemon.transport.forwarding.shared.ClientExchange;
 import org.sequoiaspindle.daemon.transport.forwarding.shared.ClientRequest;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.ConnectionMemory;
 import org.sequoiaspindle.daemon.transport.forwarding.shared.EventLoopWorker;
 import org.sequoiaspindle.daemon.transport.forwarding.shared.ForwardingContext;
 import org.sequoiaspindle.daemon.transport.http.StrictRequestDecoder;
@@ -38,22 +35,19 @@
  */
 public final class ClientConnection extends ChannelInboundHandlerAdapter implements ClientExchange {
 
-    /** Time for a client to read the response to an invalid request, in milliseconds. */
-    private static final long CLOSE_DELAY_MS = 1_000;
-
     private static final int REQUEST_TIMEOUT = 408;
     private static final int SERVICE_UNAVAILABLE = 503;
 
     private final ForwardingContext context;
     private final EventLoopWorker worker;
     private final ClientConnections connections;
-    private final RequestBody body;
     private Channel channel;
+    private ConnectionMemory memory;
+    private RequestReceiver receiver;
+    private UnreadAnswers unread;
     private ClientResponseWriter responseWriter;
     private StrictRequestDecoder decoder;
     private PipelinedMessages pipelinedMessages;
-    private HttpRequest requestHead;
-    private RequestMetadata metadata;
     private ReceiveTimes times;
     private ForwardedRequest activeRequest;
     private boolean closing;
@@ -63,41 +57,77 @@
         this.context = context;
         this.worker = worker;
         this.connections = connections;
-        this.body = new RequestBody(connections.bodyMemory());
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         channel = ctx.channel();
+        memory = context.memory().open(channel, () -> worker.loop().execute(this::closeForMemory));
+        receiver = new RequestReceiver(context, memory);
         decoder = channel.pipeline().get(StrictRequestDecoder.class);
-        pipelinedMessages = new PipelinedMessages(channel);
-        responseWriter =
-                new ClientResponseWriter(
-                        channel, () -> connections.isDraining() && !hasFurtherRequest());
-        times = new ReceiveTimes(context.clock().now());
+        pipelinedMessages = new PipelinedMessages(channel, memory);
+        long now = context.clock().now();
+        unread = new UnreadAnswers(channel, memory, now);
+        responseWriter = new ClientResponseWriter(channel, this::closesAfterResponse, unread);
+        times = new ReceiveTimes(now);
         connections.add(this);
+        if (!memory.isAdmitted()) {
+            abortResponse();
+        }
+    }
+
+    private boolean closesAfterResponse() {
+        return pipelinedMessages.isRefused() || (connections.isDraining() && !hasFurtherRequest());
+    }
+
+    /** Ends the connection, whose client makes too little progress, so that others get memory. */
+    private void closeForMemory() {
+        if (activeRequest == null && receiver.isWithinBody() && !closing) {
+            reject(receiver.lackOfMemory());
+        } else {
+            channel.close();
+        }
+    }
+
+    /**
+     * Records received bytes before they are decoded. The first bytes after a response start a new
+     * request head.
+     *
+     * @return whether the bytes are to be decoded
+     */
+    public boolean receiveBytes(ByteBuf bytes) {
+        memory.progressed(bytes.readableBytes());
+        boolean isHead = !receiver.isWithinBody() && mayBeginRequest();
+        times.recordBytes(isHead, context.clock().now());
+        if (isHead && !closing) {
+            receiver.receivePart(bytes).ifPresent(this::reject);
+        }
+        return !closing;
     }
 
-    /** Records received bytes. The first bytes after a response start a new request head. */
-    public void recordBytesReceived() {
-        times.recordBytes(activeRequest == null && requestHead == null, context.clock().now());
+    /** Returns whether what is read next belongs to a request that can be handled at once. */
+    private boolean mayBeginRequest() {
+        return activeRequest == null && pipelinedMessages.isEmpty() && channel.isWritable();
     }
 
     /** Closes the connection if the client is too slow or has been idle for too long. */
     void enforceTimeouts(IngressLimits limits) {
-        if (activeRequest != null || closing) {
+        long now = context.clock().now();
+        if (unread.closeIfIgnored(limits.idleTimeoutMillis(), now)) {
             return;
         }
-        long now = context.clock().now();
-        if (requestHead != null || times.isWithinHead()) {
-            if (times.isTooSlow(requestHead != null, limits, now)) {
+        if (activeRequest != null || closing || !pipelinedMessages.isEmpty()) {
+            return;
+        }
+        if (receiver.isWithinBody() || times.isWithinHead()) {
+            if (times.isTooSlow(receiver.isWithinBody(), limits, now)) {
                 reject(
                         REQUEST_TIMEOUT,
                         "the request was not received within "
                                 + limits.headerTimeoutMillis()
                                 + " ms");
             }
-        } else if (times.isIdleTooLong(limits, now)) {
+        } else if (unread.bytes() == 0 && times.isIdleTooLong(limits, now)) {
             channel.close();
         }
     }
@@ -111,7 +141,7 @@
 
     /** Returns whether a request has been read, at least in part, behind the active one. */
     private boolean hasFurtherRequest() {
-        return requestHead != null || !pipelinedMessages.isEmpty() || decoder.isWithinRequest();
+        return receiver.isWithinBody() || !pipelinedMessages.isEmpty() || decoder.isWithinRequest();
     }
 
     /**
@@ -156,11 +186,14 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        if (activeRequest != null) {
-            pipelinedMessages.add(message);
+        if (mayBeginRequest()) {
+            handleMessage(message);
             return;
         }
-        handleMessage(message);
+        pipelinedMessages.add(message);
+        if (pipelinedMessages.isRefused() && activeRequest == null) {
+            channel.close();
+        }
     }
 
     private void handleMessage(Object message) {
@@ -176,60 +209,27 @@
 
     private void beginRequest(HttpRequest request) {
         times.recordHead(context.clock().now());
-        Optional<RequestHeadValidator.Rejection> rejection =
-                RequestHeadValidator.validate(request, limits());
+        Optional<RequestHeadValidator.Rejection> rejection = receiver.begin(request);
         if (rejection.isPresent()) {
             reject(rejection.get());
-            return;
-        }
-        Either<String, RequestMetadata> parsedMetadata =
-                context.dialect()
-                        .requestReader()
-                        .read(
-                                request.uri(),
-                                name -> Optional.ofNullable(request.headers().get(name)));
-        if (parsedMetadata.isLeft()) {
-            reject(RequestHeadValidator.BAD_REQUEST, parsedMetadata.getLeft());
-            return;
-        }
-        requestHead = request;
-        metadata = parsedMetadata.get();
-        body.begin();
-        if (HttpUtil.is100ContinueExpected(request)) {
+        } else if (HttpUtil.is100ContinueExpected(request)) {
             channel.writeAndFlush(
                     new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
         }
     }
 
     private void appendContent(HttpContent content) {
-        if (requestHead == null || closing) {
-            content.release();
-            return;
-        }
-        if (content.decoderResult().isFailure()) {
-            content.release();
-            reject(RequestHeadValidator.BAD_REQUEST, "the request body is malformed");
-            return;
-        }
-        if (body.length() + content.content().readableBytes() > limits().maxBodyBytes()) {
+        if (!receiver.isWithinBody() || closing) {
             content.release();
-            reject(RequestHeadValidator.longBody(limits()));
-            return;
-        }
-        if (!body.append(content.content())) {
-            reject(
-                    SERVICE_UNAVAILABLE,
-                    "request bodies in progress exceed "
-                            + connections.bodyMemory().limitBytes()
-                            + " bytes");
             return;
         }
-        if (content instanceof LastHttpContent) {
-            ClientRequest request =
-                    new ClientRequest(
-                            requestHead, metadata, body.complete(), times.headReceivedAt());
-            requestHead = null;
-            activeRequest = new ForwardedRequest(context, worker, this, request);
+        Either<RequestHeadValidator.Rejection, Optional<ClientRequest>> received =
+                receiver.append(content, times.headReceivedAt());
+        if (received.isLeft()) {
+            reject(received.getLeft());
+        } else if (received.get().isPresent()) {
+            memory.waitForClient(false);
+            activeRequest = new ForwardedRequest(context, worker, this, received.get().get());
             activeRequest.startAfterRead();
         }
     }
@@ -256,17 +256,28 @@
         finishResponse(responseWriter.endStream(activeRequest.request().head()));
     }
 
+    @Override
+    public boolean reserveForResponse(long bytes) {
+        return memory.reserve(MemoryKind.ENDPOINT_RESPONSES, bytes);
+    }
+
+    @Override
+    public void releaseForResponse(long bytes) {
+        memory.release(MemoryKind.ENDPOINT_RESPONSES, bytes);
+    }
+
     @Override
     public void abortResponse() {
         activeRequest = null;
         closing = true;
-        body.releaseMemory();
+        receiver.releaseMemory();
         channel.close();
     }
 
     private void finishResponse(boolean close) {
         activeRequest = null;
-        body.releaseMemory();
+        receiver.releaseMemory();
+        memory.waitForClient(true);
         boolean withinRequest = pipelinedMessages.isEmpty() && decoder.isWithinRequest();
         times.recordResponse(!close && withinRequest, context.clock().now());
         if (close) {
@@ -282,7 +293,10 @@
     }
 
     private void processPipelined() {
-        while (activeRequest == null && !closing && !pipelinedMessages.isEmpty()) {
+        while (activeRequest == null
+                && !closing
+                && channel.isWritable()
+                && !pipelinedMessages.isEmpty()) {
             handleMessage(pipelinedMessages.poll());
         }
         pipelinedMessages.resumeReading();
@@ -300,48 +314,35 @@
                 .record(
                         LogEvent.REQUEST_REJECTED,
                         LinkedHashMap.of("status", status, "reason", explanation));
-        responseWriter
-                .writeRejection(status, explanation)
-                .addListener(written -> closeAfterDelay());
-        requestHead = null;
-        body.release();
-    }
-
-    /**
-     * Closes the connection after a delay. Closing it at once while the client is still sending
-     * would reset the connection, and the client would not receive the response.
-     */
-    private void closeAfterDelay() {
-        ((DuplexChannel) channel).shutdownOutput();
-        worker.loop().schedule(() -> channel.close(), CLOSE_DELAY_MS, TimeUnit.MILLISECONDS);
+        responseWriter.rejectAndClose(status, explanation);
+        receiver.discard();
     }
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
         if (activeRequest != null) {
+            memory.waitForClient(!channel.isWritable());
             activeRequest.clientWritabilityChanged(channel.isWritable());
+        } else if (channel.isWritable() && !pipelinedMessages.isEmpty()) {
+            worker.loop().execute(this::processPipelined);
         }
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         connections.remove(this);
-        requestHead = null;
-        body.release();
+        receiver.discard();
         pipelinedMessages.discard();
         if (activeRequest != null) {
             ForwardedRequest abandonedRequest = activeRequest;
             activeRequest = null;
             abandonedRequest.clientDisconnected();
         }
+        memory.close();
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         channel.close();
     }
-
-    private IngressLimits limits() {
-        return context.registry().configuration().limits();
-    }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/client/ClientConnections.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/client/ClientConnections.java
@@ -6,19 +6,14 @@
 import java.util.concurrent.atomic.AtomicReference;
 import org.sequoiaspindle.core.coordination.forwarding.admission.DrainAdmission;
 import org.sequoiaspindle.core.state.forwarding.IngressLimits;
-import org.sequoiaspindle.daemon.transport.forwarding.shared.MemoryBudget;
 
 /** The open client connections and the drain state of the instance. Thread-safe. */
 public final class ClientConnections {
 
-    /** Maximum total size of buffered request bodies; a third of the configured heap. */
-    private static final long MAX_BODY_BYTES = 32L * 1024 * 1024;
-
     private final Set<ClientConnection> connections = ConcurrentHashMap.newKeySet();
     private final AtomicReference<DrainAdmission> drain =
             new AtomicReference<>(DrainAdmission.NOT_DRAINING);
     private final AtomicBoolean rejectingRequests = new AtomicBoolean();
-    private final MemoryBudget bodyMemory = new MemoryBudget(MAX_BODY_BYTES);
 
     void add(ClientConnection connection) {
         connections.add(connection);
@@ -28,11 +23,6 @@
         connections.remove(connection);
     }
 
-    /** Returns the memory for the bodies of requests that are received or in progress. */
-    MemoryBudget bodyMemory() {
-        return bodyMemory;
-    }
-
     /** Makes every connection close after the response to its current request. */
     public void drainUntil(long stopsAt) {
         drain.set(new DrainAdmission(stopsAt));
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/client/ClientResponseWriter.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/client/ClientResponseWriter.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
@@ -19,6 +20,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
 /** Writes responses to a client's connection. Confined to the event loop of the connection. */
@@ -30,8 +32,12 @@
      */
     private static final String RETRY_AFTER_SECONDS = "0.5";
 
+    /** Time for a client to read the response to an invalid request, in milliseconds. */
+    private static final long CLOSE_DELAY_MS = 1_000;
+
     private final Channel channel;
     private final BooleanSupplier closesConnection;
+    private final UnreadAnswers unread;
     private boolean closeAnnounced;
 
     /**
@@ -39,10 +45,12 @@
      *
      * @param closesConnection returns whether the connection is closed after the response to the
      *     current request
+     * @param unread counts what is written
      */
-    ClientResponseWriter(Channel channel, BooleanSupplier closesConnection) {
+    ClientResponseWriter(Channel channel, BooleanSupplier closesConnection, UnreadAnswers unread) {
         this.channel = channel;
         this.closesConnection = closesConnection;
+        this.unread = unread;
     }
 
     /**
@@ -55,13 +63,17 @@
         fields.set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
         boolean closeAfterResponse = shouldClose(request);
         setConnectionHeader(request, fields, closeAfterResponse);
-        channel.writeAndFlush(
-                new DefaultFullHttpResponse(
-                        HttpVersion.HTTP_1_1,
-                        HttpResponseStatus.valueOf(status),
-                        isHead ? Unpooled.EMPTY_BUFFER : content,
-                        fields,
-                        new DefaultHttpHeaders()));
+        ByteBuf body = isHead ? Unpooled.EMPTY_BUFFER : content;
+        int length = body.readableBytes();
+        ChannelFuture written =
+                channel.writeAndFlush(
+                        new DefaultFullHttpResponse(
+                                HttpVersion.HTTP_1_1,
+                                HttpResponseStatus.valueOf(status),
+                                body,
+                                fields,
+                                new DefaultHttpHeaders()));
+        unread.add(length, written);
         return closeAfterResponse;
     }
 
@@ -78,7 +90,8 @@
 
     /** Writes a part of the body of a started response. */
     void writePart(ByteBuf content) {
-        channel.writeAndFlush(new DefaultHttpContent(content));
+        int length = content.readableBytes();
+        unread.add(length, channel.writeAndFlush(new DefaultHttpContent(content)));
     }
 
     /**
@@ -92,11 +105,11 @@
     }
 
     /**
-     * Writes an error response to an invalid request and announces that the connection closes.
+     * Writes an error response to an invalid request and closes the connection.
      *
      * @param explanation what is wrong with the request, or the limit that it exceeds
      */
-    ChannelFuture writeRejection(int status, String explanation) {
+    void rejectAndClose(int status, String explanation) {
         FullHttpResponse response =
                 new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1,
@@ -109,7 +122,16 @@
                 .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.TEXT_PLAIN)
                 .set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
                 .set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-        return channel.writeAndFlush(response);
+        channel.writeAndFlush(response).addListener(written -> closeAfterDelay());
+    }
+
+    /**
+     * Closes the connection after a delay. Closing it at once while the client is still sending
+     * would reset the connection, and the client would not receive the response.
+     */
+    private void closeAfterDelay() {
+        ((DuplexChannel) channel).shutdownOutput();
+        channel.eventLoop().schedule(() -> channel.close(), CLOSE_DELAY_MS, TimeUnit.MILLISECONDS);
     }
 
     private boolean shouldClose(HttpRequest request) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/ForwardingInstance.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/ForwardingInstance.java
@@ -41,12 +41,11 @@
 import org.sequoiaspindle.daemon.transport.forwarding.piece.LocalPieceExecutor;
 import org.sequoiaspindle.daemon.transport.forwarding.piece.PieceListener;
 import org.sequoiaspindle.daemon.transport.forwarding.piece.ReplicaPieceClient;
-import org.sequoiaspindle.daemon.transport.forwarding.replica.ReplicaAttempt;
 import org.sequoiaspindle.daemon.transport.forwarding.replica.ReplicaConnectionCheck;
 import org.sequoiaspindle.daemon.transport.forwarding.replica.ReplicaHandleReleaser;
 import org.sequoiaspindle.daemon.transport.forwarding.shared.EventLoopWorker;
 import org.sequoiaspindle.daemon.transport.forwarding.shared.ForwardingContext;
-import org.sequoiaspindle.daemon.transport.forwarding.shared.MemoryBudget;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.MemoryLedger;
 import org.sequoiaspindle.daemon.transport.forwarding.shared.ReplicaAnswerRecorder;
 import org.sequoiaspindle.daemon.transport.forwarding.shared.ResultLocator;
 import org.sequoiaspindle.daemon.transport.forwarding.shared.StrayAnswerLog;
@@ -80,6 +79,7 @@
     private final MillisClock clock = MillisClock.monotonic();
     private final Closer closer = new Closer();
     private final ForwardingMetrics metrics = new ForwardingMetrics();
+    private final MemoryLedger memory;
     private final ClientConnections connections = new ClientConnections();
     private final MultiThreadIoEventLoopGroup loops;
     private final Map<EventExecutor, EventLoopWorker> workers = new ConcurrentHashMap<>();
@@ -100,6 +100,8 @@
         this.settings = settings;
         this.events = events;
         metrics.countDroppedLines(droppedLines);
+        memory = new MemoryLedger(ProcessLimits.clients(settings), clock, metrics, events);
+        metrics.showHeldMemory(kind -> memory.account().bytesOf(kind));
         loops =
                 new MultiThreadIoEventLoopGroup(
                         settings.eventLoops(),
@@ -254,8 +256,9 @@
 
     private Channel statusListener(
             HostPort address, String path, Supplier<StatusHandler.Page> page) {
+        MemoryLedger places = new MemoryLedger(ProcessLimits.STATUS, clock, metrics, events);
         return ListenerSockets.bindStatus(
-                loops, address, () -> new StatusHandler(Map.of(path, page)));
+                loops, address, () -> new StatusHandler(Map.of(path, page), places));
     }
 
     /** Registers a listener for closing and returns the address to which it is bound. */
@@ -309,7 +312,7 @@
                 pieceExecutor,
                 crashReporter,
                 new ResultLocator(adapter.stages(), registry),
-                new MemoryBudget(ReplicaAttempt.MAX_TOTAL_BUFFERED_BYTES),
+                memory,
                 metrics,
                 clock,
                 events);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/ListenerSockets.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/ListenerSockets.java
@@ -1,6 +1,7 @@
 package org.sequoiaspindle.daemon.transport.forwarding.process;
 
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -13,6 +14,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -28,7 +30,16 @@
     private static final int BACKLOG = 1_024;
 
     /** Number of buffers after which other connections are read. */
-    private static final int MAX_READS = 16;
+    private static final int MAX_READS = 64;
+
+    /**
+     * Largest buffer of a read, in bytes. All heads in a buffer are decoded before reading can be
+     * paused, and heads of short fields use thirty times their size.
+     */
+    private static final int MAX_READ_BYTES = 16 * 1024;
+
+    private static final int MIN_READ_BYTES = 64;
+    private static final int FIRST_READ_BYTES = 2 * 1024;
 
     private static final int MAX_STATUS_REQUEST_BYTES = 8_192;
     private static final int MAX_CHUNK_BYTES = 65_536;
@@ -66,7 +77,8 @@
      * behind a request is noticed in the read of the request.
      */
     private static void readUntilEmpty(SocketChannel channel) {
-        AdaptiveRecvByteBufAllocator allocator = new AdaptiveRecvByteBufAllocator();
+        AdaptiveRecvByteBufAllocator allocator =
+                new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_READ_BYTES);
         allocator.respectMaybeMoreData(false);
         allocator.maxMessagesPerRead(MAX_READS);
         channel.config().setRecvByteBufAllocator(allocator);
@@ -127,8 +139,11 @@
 
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) {
-            connection.recordBytesReceived();
-            ctx.fireChannelRead(message);
+            if (connection.receiveBytes((ByteBuf) message)) {
+                ctx.fireChannelRead(message);
+            } else {
+                ReferenceCountUtil.release(message);
+            }
         }
     }
 }
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/StatusHandler.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/process/StatusHandler.java
@@ -15,8 +15,13 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.function.Supplier;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.ConnectionMemory;
+import org.sequoiaspindle.daemon.transport.forwarding.shared.MemoryLedger;
 
-/** Serves status pages of the instance, with one supplier for each path. */
+/**
+ * Serves status pages of the instance, with one supplier for each path. A client that sends
+ * requests without reading the answers loses its connection.
+ */
 final class StatusHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
 
     /**
@@ -26,14 +31,45 @@
      */
     record Page(int status, String body) {}
 
+    /** Progress that a request counts as; more than a client needs to keep its connection. */
+    private static final long REQUEST_BYTES = 4_096;
+
     private final Map<String, Supplier<Page>> pages;
+    private final MemoryLedger places;
+    private ConnectionMemory memory;
 
-    StatusHandler(Map<String, Supplier<Page>> pages) {
+    /**
+     * Creates a handler for one connection.
+     *
+     * @param places admits the connections of the listener
+     */
+    StatusHandler(Map<String, Supplier<Page>> pages, MemoryLedger places) {
         this.pages = Map.copyOf(pages);
+        this.places = places;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        memory = places.open(ctx.channel(), ctx.channel()::close);
+        if (!memory.isAdmitted()) {
+            ctx.close();
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        if (memory != null) {
+            memory.close();
+        }
     }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+        if (!ctx.channel().isWritable()) {
+            ctx.close();
+            return;
+        }
+        memory.progressed(REQUEST_BYTES);
         Supplier<Page> pageSupplier = pages.get(request.uri());
         Page page =
                 pageSupplier == null
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaAttempt.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/replica/ReplicaAttempt.java
@@ -42,11 +42,8 @@
      */
     private static final int MAX_BUFFERED_BYTES = 512 * 1024;
 
-    /**
-     * Maximum total size of buffered responses; a sixth of the configured heap. Beyond it,
-     * successes are passed on as they arrive, and failures are given up.
-     */
-    public static final long MAX_TOTAL_BUFFERED_BYTES = 16L * 1024 * 1024;
+    /** Memory for each byte of a buffered response, whose buffer grows by doubling. */
+    private static final int BUFFER_COPIES = 2;
 
     private static final int MAX_URGENCY = 9;
 
@@ -163,7 +160,7 @@
     }
 
     private void releaseMemory() {
-        context.responseMemory().release(reservedBytes);
+        owner.client().releaseForResponse(reservedBytes);
         reservedBytes = 0;
     }
 
@@ -231,11 +228,12 @@
 
     /** Reserves the memory for bytes that are not passed on yet. */
     private boolean mayBuffer(int bytes) {
+        long memory = (long) BUFFER_COPIES * bytes;
         if (bufferedBody.readableBytes() + bytes > MAX_BUFFERED_BYTES
-                || !context.responseMemory().tryReserve(bytes)) {
+                || !owner.client().reserveForResponse(memory)) {
             return false;
         }
-        reservedBytes += bytes;
+        reservedBytes += memory;
         return true;
     }
 
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ClientExchange.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ClientExchange.java
@@ -16,6 +16,12 @@
     /** Returns whether the client takes more bytes without buffering them. */
     boolean isWritable();
 
+    /** Reserves memory for a response that is collected; returns false if there is too little. */
+    boolean reserveForResponse(long bytes);
+
+    /** Releases memory that was reserved for a response. */
+    void releaseForResponse(long bytes);
+
     /** Returns whether a drain has gone too far for a new request. */
     boolean isRejectingRequests();
 
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ForwardingContext.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ForwardingContext.java
@@ -20,7 +20,7 @@
 /**
  * Components shared by all requests. Each component is thread-safe.
  *
- * @param responseMemory memory for responses that are not passed on until they are complete
+ * @param memory memory that connections of clients use
  * @param pieceTimes estimated time from the request of a piece to its result, by service
  * @param responseTimes estimated time from sending a request to the end of the response, by route
  */
@@ -38,7 +38,7 @@
         HandleReleaser releaser,
         CrashReporter crashReporter,
         ResultLocator locator,
-        MemoryBudget responseMemory,
+        MemoryLedger memory,
         ForwardingMetrics metrics,
         MillisClock clock,
         EventLog events) {
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
@@ -3,6 +3,7 @@
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -10,6 +11,8 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.function.LongSupplier;
+import java.util.function.ToLongFunction;
+import org.sequoiaspindle.core.coordination.forwarding.memory.MemoryKind;
 import org.sequoiaspindle.core.protocol.relay.RelayedStore;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.protocol.store.StoreCommand;
@@ -48,6 +51,11 @@
                     "service", "result");
     private final Counter rejections =
             counter("rejected_requests", "Requests that could not be read, by status", "status");
+    private final Counter closedConnections =
+            counter(
+                    "closed_connections",
+                    "Connections of clients that lost their memory or place, by reason",
+                    "reason");
     private final Counter strayAnswers =
             counter(
                     "stray_answers",
@@ -78,6 +86,30 @@
                 .register(registry);
     }
 
+    /** Exposes the bytes that are held for clients, by kind. */
+    public void showHeldMemory(ToLongFunction<MemoryKind> bytesOf) {
+        GaugeWithCallback.builder()
+                .name("sequoiaspindle_held_bytes")
+                .help("Memory held for clients, by kind")
+                .labelNames("kind")
+                .callback(
+                        callback -> {
+                            for (MemoryKind kind : MemoryKind.values()) {
+                                callback.call(bytesOf.applyAsLong(kind), kind.name());
+                            }
+                        })
+                .register(registry);
+    }
+
+    /**
+     * Counts a connection that was closed or refused so that others get its memory or its place.
+     *
+     * @param reason name of the log event
+     */
+    public void recordClosedConnection(String reason) {
+        closedConnections.labelValues(reason).inc();
+    }
+
     public void recordRequestStart() {
         inFlightRequests.inc();
     }
--- a/review/common/Case.java
+++ b/review/common/Case.java
@@ -157,6 +157,7 @@
                         Map.entry("platform.address", '"' + store.server.address() + '"'),
                         Map.entry("limits.cpu_share", "0.75"),
                         Map.entry("limits.cpu_cores", "1"),
+                        Map.entry("limits.memory_mb", "290"),
                         Map.entry("bounds.grace_s", "8"),
                         Map.entry("bounds.strict_revoke", "true"),
                         Map.entry("bounds.revoke_ms", "5000"),
