Limit the collected responses of endpoints on their own again

Without a total of their own, unfinished failures could fill the whole budget, which on a large heap is far more than the 16 MiB before: EndlessBytesTest.unfinishedFailuresOfManyRequestsAreGivenUp... failed on.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/memory/MemoryAccount.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/memory/MemoryAccount.java
@@ -140,7 +140,8 @@
 
     /** Reserves memory for a connection, if need be at the expense of stalled clients. */
     public Decision reserve(long number, MemoryKind kind, long bytes, long now) {
-        if (holders.get(number).forAll(MemoryHolder::isClosing)) {
+        if (holders.get(number).forAll(MemoryHolder::isClosing)
+                || bytesOf(kind) + bytes > kind.maxBytes()) {
             return new Decision(this, false, Vector.empty());
         }
         long missing = usedBytes + bytes - allowedBytes(number, bytes);
