--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/telemetry/ForwardingMetrics.java
@@ -14,6 +14,8 @@
 import java.util.Map;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
+import org.sequoiaspindle.core.coordination.forwarding.memory.MemoryKind;
 import org.sequoiaspindle.core.protocol.relay.RelayedStore;
 import org.sequoiaspindle.core.protocol.store.Store;
 import org.sequoiaspindle.core.protocol.store.StoreCommand;
@@ -53,6 +55,11 @@
                     "service", "result");
     private final Counter rejections =
             counter("rejected_requests", "Requests that could not be read, by status", "status");
+    private final Counter closedConnections =
+            counter(
+                    "closed_connections",
+                    "Connections of clients that lost their memory or place, by reason",
+                    "reason");
     private final Counter strayAnswers =
             counter(
                     "stray_answers",
@@ -157,6 +164,30 @@
         permits.labelValues(event).inc();
     }
 
+    /** Exposes the bytes that are held for clients, by kind. */
+    public void showHeldMemory(ToLongFunction<MemoryKind> bytesOf) {
+        GaugeWithCallback.builder()
+                .name("sequoiaspindle_held_bytes")
+                .help("Memory held for clients, by kind")
+                .labelNames("kind")
+                .callback(
+                        callback -> {
+                            for (MemoryKind kind : MemoryKind.values()) {
+                                callback.call(bytesOf.applyAsLong(kind), kind.name());
+                            }
+                        })
+                .register(registry);
+    }
+
+    /**
+     * Counts a connection that was closed or refused so that others get its memory or its place.
+     *
+     * @param reason name of the log event
+     */
+    public void recordClosedConnection(String reason) {
+        closedConnections.labelValues(reason).inc();
+    }
+
     public void recordRequestStart() {
         inFlightRequests.inc();
     }
