--- a/core/src/main/java/org/sequoiaspindle/core/state/forwarding/ColdEndpoints.java
+++ b/core/src/main/java/org/sequoiaspindle/core/state/forwarding/ColdEndpoints.java
@@ -28,8 +28,7 @@
      * @param statedUntil end of the cold time by its own statements
      * @param lastSeenAt latest time at which it was registered
      */
-    private record Observation(
-            long revision, long firstSeenAt, long statedUntil, long lastSeenAt) {}
+    private record Observation(long revision, long statedUntil, long lastSeenAt) {}
 
     private final Map<ReplicaId, Observation> observations;
     private final Map<String, Long> restoredAt;
@@ -45,7 +44,7 @@
      */
     public ColdEndpoints withRegistration(Replica replica, long revision, long now) {
         Observation known =
-                observations.getOrElse(replica.id(), new Observation(NEVER, now, NEVER, now));
+                observations.getOrElse(replica.id(), new Observation(NEVER, NEVER, now));
         if (revision <= known.revision()) {
             return this;
         }
@@ -53,7 +52,6 @@
                 replica.id(),
                 new Observation(
                         revision,
-                        known.firstSeenAt(),
                         Math.max(known.statedUntil(), endOf(replica.coldMillis(), now)),
                         now));
     }
@@ -69,7 +67,6 @@
                                         replica,
                                         new Observation(
                                                 known.revision(),
-                                                known.firstSeenAt(),
                                                 endOf(coldMillis, now),
                                                 known.lastSeenAt())))
                 .getOrElse(this);
@@ -98,7 +95,6 @@
                                                 table.contains(id)
                                                         ? new Observation(
                                                                 known.revision(),
-                                                                known.firstSeenAt(),
                                                                 known.statedUntil(),
                                                                 now)
                                                         : known));
@@ -106,10 +102,8 @@
     }
 
     /**
-     * Returns the time at which a replica stops being cold. A replica counts as cold for the
-     * duration of its service from when it was first seen, because an instance that has just
-     * started knows neither what the replica stated earlier nor whether its data centre was
-     * restored a moment ago.
+     * Returns the time at which a replica stops being cold. A replica of which no registration has
+     * been read counts as cold.
      */
     public long coldUntil(Replica replica, ColdSpec spec) {
         long sinceRestored =
@@ -119,12 +113,7 @@
                         .getOrElse(NEVER);
         return observations
                 .get(replica.id())
-                .map(
-                        known ->
-                                Math.max(
-                                        known.statedUntil(),
-                                        known.firstSeenAt() + spec.durationMillis()))
-                .map(until -> Math.max(until, sinceRestored))
+                .map(known -> Math.max(known.statedUntil(), sinceRestored))
                 .getOrElse(Long.MAX_VALUE);
     }
 
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ConnectionMemory.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/ConnectionMemory.java
@@ -52,7 +52,9 @@
 
     /** Records bytes that the client has sent or taken. */
     public void progressed(long bytes) {
-        ledger.progressed(number, bytes);
+        if (bytes > 0) {
+            ledger.progressed(number, bytes);
+        }
     }
 
     /** Records whether the process waits for the client. */
