Make endpoints count as cold before their data centre is open again

Cause: found by a review: the evacuation was withdrawn first and the listener told after it, so that another event loop could send to endpoints of the restored data centre without permits in between. Change: the listener is told before the new state is visible. Result: EvacuationSimulationTest, EvacuationPathTest and ColdEndpointTest pass; the window itself has no test.

--- a/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/EvacuationState.java
+++ b/core/src/main/java/org/sequoiaspindle/core/protocol/forwarding/EvacuationState.java
@@ -97,6 +97,12 @@
 
     private void update(Evacuations.Update update) {
         long now = wallClock.now();
+        // What a restoration restricts must be in force before the endpoints are open again.
+        Evacuations current = current();
+        Evacuations expected = merge.apply(current, update);
+        current.evacuated().stream()
+                .filter(name -> !expected.isEvacuated(name))
+                .forEach(onRestored);
         Evacuations before =
                 snapshot.getAndUpdate(
                                 last -> last.next(merge.apply(last.evacuations(), update), now))
@@ -110,7 +116,6 @@
         for (String name : before.evacuated()) {
             if (!after.isEvacuated(name)) {
                 record(LogEvent.DATA_CENTRE_RESTORED, name, after);
-                onRestored.accept(name);
             }
         }
     }
