Report failures while a request waits for a permit

Cause: found by a review: the stage of a permit question was dropped, so an exception in what follows it would have vanished and the request waited for its deadline. Change: Invariants.reportFailure, as for all other stages. Result: ColdEndpointTest and ForwardingPathTest pass; no such exception is known.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/ReplicaSearch.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/ReplicaSearch.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.sequoiaspindle.core.common.Invariants;
 import org.sequoiaspindle.core.coordination.forwarding.admission.Admission;
 import org.sequoiaspindle.core.coordination.forwarding.admission.RejectionReason;
 import org.sequoiaspindle.core.coordination.forwarding.permit.SendPermit;
@@ -62,18 +63,25 @@
             return;
         }
         questions++;
-        context.permits()
-                .request(replica.get())
-                .thenAcceptAsync(
-                        permit -> {
-                            if (permit.isPresent()) {
-                                onFound.accept(Optional.of(found(replica.get(), permit)));
-                            } else {
-                                refuse(replica.get());
-                                find(inputBytes, onFound);
-                            }
-                        },
-                        worker.loop());
+        Invariants.reportFailure(
+                context.permits()
+                        .request(replica.get())
+                        .thenAcceptAsync(
+                                permit -> answered(replica.get(), permit, inputBytes, onFound),
+                                worker.loop()));
+    }
+
+    private void answered(
+            Replica replica,
+            Optional<SendPermit> permit,
+            Map<String, Long> inputBytes,
+            Consumer<Optional<AttemptTarget>> onFound) {
+        if (permit.isPresent()) {
+            onFound.accept(Optional.of(found(replica, permit)));
+        } else {
+            refuse(replica);
+            find(inputBytes, onFound);
+        }
     }
 
     /** Returns the data centre of the replica that would be chosen now, empty without one. */
