Check with one rule whether a piece call may be sent

Cause: found by a review: the queue passed over cold endpoints, but the check before the first byte asked only whether the endpoint is closed, so a call could reach a stage endpoint that became cold while its connection was opened. Change: acceptsCalls, in both places. Result: ReplicaPieceClientTest, StagePathTest and ColdEndpointTest pass; no test opens a connection meanwhile.

--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatuses.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/ReplicaStatuses.java
@@ -82,6 +82,12 @@
                 .toList();
     }
 
+    /** Returns whether calls, for which there are no permits, may be sent to a replica. */
+    public boolean acceptsCalls(Replica replica, long now) {
+        SendTerms terms = termsFor(replica, now);
+        return !terms.isClosed() && !terms.needsPermit();
+    }
+
     /** Returns whether a replica accepts requests that have no permit. */
     public boolean acceptsWithoutPermit(Replica replica, long now) {
         return acceptsRequests(replica, now) && !termsFor(replica, now).needsPermit();
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/BatchingPieceExecutor.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/BatchingPieceExecutor.java
@@ -281,7 +281,7 @@
         }
         if (outcome instanceof ReplicaPieceClient.NotSent notSent) {
             // A replica that was closed meanwhile was not called, so it has not failed.
-            if (!statuses.isClosed(replica, now)) {
+            if (statuses.acceptsCalls(replica, now)) {
                 status.updateHealth(health -> health.afterConnectFailure(now));
             }
             queuedPieces.addAll(pending);
--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/ReplicaPieceClient.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/piece/ReplicaPieceClient.java
@@ -99,7 +99,7 @@
                 codec.encodeExecute(batch.pieces(), now),
                 PieceCallTimeout.millis(spec, batch.pieces(), now),
                 MAX_RESPONSE_BYTES + MAX_RESULT_BYTES * batch.pieces().size(),
-                () -> !answerRecorder.statuses().isClosed(batch.replica(), clock.now()),
+                () -> mayCall(batch.replica()),
                 response -> {
                     outcome.set(readResponse(batch, response));
                     return outcome.get() instanceof Responded responded && responded.hasResult();
@@ -142,4 +142,8 @@
                 ? Either.right(results)
                 : Either.left("result of another call");
     }
+
+    private boolean mayCall(Replica replica) {
+        return answerRecorder.statuses().acceptsCalls(replica, clock.now());
+    }
 }
