Measure what a client has taken of its answers in one unit

Cause: found by a review: the bytes of parts were compared with the pending bytes of the channel, which include heads and 96 bytes a part. For small events the progress of a client that reads slowly but steadily stayed unseen, and the connection was closed after idle_timeout_ms; answers without a body were not counted at all. Change: progress is the completion of parts and the progress within the part that is being written; a part costs its bytes and 256 for its buffer, entry and head.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/client/UnreadAnswers.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/client/UnreadAnswers.java
@@ -12,9 +12,12 @@
  */
 final class UnreadAnswers {
 
+    /** Memory of a part besides its bytes: its buffer, its entry in the queue and its head. */
+    private static final int ENTRY_BYTES = 256;
+
     private final Channel channel;
     private final ConnectionMemory memory;
-    private long writtenBytes;
+    private long completedBytes;
     private long takenBytes;
     private long lastTakenAt;
 
@@ -26,12 +29,16 @@
 
     /** Counts a part of an answer until it is written to the socket. */
     void add(int bytes, ChannelFuture written) {
-        if (written.isDone() || bytes == 0) {
+        if (written.isDone()) {
             return;
         }
-        writtenBytes += bytes;
-        memory.add(MemoryKind.ANSWERS, bytes);
-        written.addListener(ignored -> memory.release(MemoryKind.ANSWERS, bytes));
+        long cost = bytes + ENTRY_BYTES;
+        memory.add(MemoryKind.ANSWERS, cost);
+        written.addListener(
+                ignored -> {
+                    completedBytes += cost;
+                    memory.release(MemoryKind.ANSWERS, cost);
+                });
     }
 
     /**
@@ -40,7 +47,7 @@
      */
     boolean closeIfIgnored(long limitMillis, long now) {
         long unread = bytes();
-        long taken = Math.max(takenBytes, writtenBytes - unread);
+        long taken = Math.max(takenBytes, completedBytes + currentProgress());
         if (taken > takenBytes || unread == 0) {
             memory.progressed(taken - takenBytes);
             takenBytes = taken;
@@ -54,6 +61,12 @@
         return true;
     }
 
+    /** Returns the bytes of the part that is being written which the client has taken. */
+    private long currentProgress() {
+        ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
+        return pending == null ? 0 : pending.currentProgress();
+    }
+
     /** Returns the bytes that the client has not taken, with those of heads. */
     long bytes() {
         ChannelOutboundBuffer pending = channel.unsafe().outboundBuffer();
