--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/SendRule.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/SendRule.java
@@ -13,6 +13,12 @@
 
     /** Returns the rule under which the terms of both apply. */
     default SendRule and(SendRule other) {
+        if (this == UNRESTRICTED) {
+            return other;
+        }
+        if (other == UNRESTRICTED) {
+            return this;
+        }
         return (replica, now) -> termsFor(replica, now).and(other.termsFor(replica, now));
     }
 }
--- a/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/SendTerms.java
+++ b/core/src/main/java/org/sequoiaspindle/core/coordination/forwarding/replica/SendTerms.java
@@ -35,6 +35,9 @@
 
     /** Returns the terms under both: the more restrictive verdict and the smaller capacity. */
     public SendTerms and(SendTerms other) {
+        if (equals(UNRESTRICTED)) {
+            return other;
+        }
         return new SendTerms(
                 verdict.compareTo(other.verdict) >= 0 ? verdict : other.verdict,
                 Math.min(capacity, other.capacity));
