Drop pending pieces of stages that have restarted

When an input of a piece was gone, all stages restarted, but the pieces of the first run that were still queued counted as needed until the end of the request. They were computed, took room, and were released unused. They now count as unneeded from the restart on. The two fields that executors read from other threads are volatile.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/StageGraphExecution.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/request/StageGraphExecution.java
@@ -39,9 +39,13 @@
     private final Consumer<StagePlan> onCompleted;
     private final Consumer<RejectionReason> onFailed;
     private StagePlan plan;
-    private int restarts;
+
+    /** Volatile because executors of pieces ask from their own threads what is still needed. */
+    private volatile int restarts;
+
     private int completedPieces;
-    private boolean finished;
+
+    private volatile boolean finished;
 
     /**
      * Properties of the request.
@@ -196,7 +200,8 @@
         int restartsAtStart = restarts;
         long requestedAt = context.clock().now();
         List<CompletionStage<PieceResult>> results =
-                context.pieceExecutor().execute(pieces, () -> !finished);
+                context.pieceExecutor()
+                        .execute(pieces, () -> !finished && restartsAtStart == restarts);
         for (int i = 0; i < pieces.size(); i++) {
             Piece piece = pieces.get(i);
             results.get(i)
