Count only what the place of a connection does not cover

Cause: each request changed the account of memory about eight times, in code that is interpreted on an instance with few requests. Change: a connection is charged 16 KiB from its start to its end; only more than that is counted by kind, responses of endpoints in full, and progress in steps of 1 KiB.

--- a/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/MemoryLedger.java
+++ b/daemon/src/main/java/org/sequoiaspindle/daemon/transport/forwarding/shared/MemoryLedger.java
@@ -53,7 +53,12 @@
                 decide(
                         current -> current.open(number, client, clock.now()),
                         LogEvent.CONNECTION_DISPLACED);
-        if (!admitted) {
+        if (admitted) {
+            update(
+                    current ->
+                            current.changed(
+                                    number, MemoryKind.HEADS, ConnectionMemory.COVERED_BYTES));
+        } else {
             closersByNumber.remove(number);
             metrics.recordClosedConnection(LogEvent.CONNECTION_REFUSED.name());
             events.record(
