--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,5 +4,4 @@
 cd "$(dirname "$0")/.."
 shopt -s nullglob
 mkdir -p target/review-2
-javac --release 17 -Xlint:all -d target/review-2 review/common-2/*.java \
-    review/{6,7,8,9,10}/*.java
+javac --release 17 -Xlint:all -d target/review-2 review/{6,7,8,9,10}/*.java
